Lay the workspace: shared types, ports, fakes, protocol and checks

Cause: nothing stood yet. The ports and messages are settled first, so that the parts can be built side by side against fakes. Ruled out: a lock file made by uv, since it names a registry; editable installs, since each work tree must run its own sources.

--- /dev/null
+++ b/libs/catalogue/src/balsamspoke_catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""Catalogue objects, their validation and the in-force view."""
--- /dev/null
+++ b/libs/daemon/src/balsamspoke_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: settings, HTTP and gRPC shells, logs and metrics."""
--- /dev/null
+++ b/libs/fakes/src/balsamspoke_fakes/store.py
@@ -0,0 +1,263 @@
+"""An object API in memory, with its failures."""
+
+import random
+from datetime import timedelta
+
+from balsamspoke_types.exceptions import (
+    ObjectNotFound,
+    ObjectTooLarge,
+    StoreUnavailable,
+    VersionConflict,
+    WatchExpired,
+    WriteOutcomeUnknown,
+)
+from balsamspoke_types.ports import ObjectPage, ObjectStore, StoredObject, Watch
+from twisted.internet.defer import Deferred
+
+MAXIMUM_VALUE_BYTES = 1_000_000
+PAGE_SIZE = 500
+
+
+class StoreState:
+    """What the platform holds; every process's FakeStore shares it.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the last write.
+    available : bool
+        Set to False for an outage seen by all.
+    history : list of StoredObject
+        Every write, in order.
+    """
+
+    def __init__(self):
+        self.revision = 0
+        self.available = True
+        self.history = []
+        self.objects = {}
+        self.watches = []
+
+    def put(self, kind, name, value, deleted=False):
+        """Write without conditions, as an operator would; return the object."""
+        self.revision += 1
+        written = StoredObject(kind, name, self.revision, value, deleted)
+        self.history.append(written)
+        if deleted:
+            self.objects.pop((kind, name), None)
+        else:
+            self.objects[kind, name] = written
+        for watch in list(self.watches):
+            watch.notice(written)
+        return written
+
+
+class _FakeWatch(Watch):
+    def __init__(self, store, kinds, on_events, on_end):
+        self._store = store
+        self._kinds = kinds
+        self._on_events = on_events
+        self._on_end = on_end
+        self.running = True
+        store.state.watches.append(self)
+
+    def stop(self):
+        self.running = False
+        if self in self._store.state.watches:
+            self._store.state.watches.remove(self)
+
+    def notice(self, written):
+        if written.kind in self._kinds and not self._store.loses("watch"):
+            page = ObjectPage((written,), written.version)
+            self._store.answer_later(self._deliver, page)
+            if self._store.doubles_events:
+                self._store.answer_later(self._deliver, page)
+
+    def replay(self, missed, revision):
+        self._store.answer_later(self._deliver, ObjectPage(tuple(missed), revision))
+
+    def end(self, error):
+        if self.running:
+            self.stop()
+            self._on_end(error)
+
+    def _deliver(self, page):
+        if self.running:
+            self._on_events(page)
+
+
+class FakeStore(ObjectStore):
+    """One process's client of the object API.
+
+    Parameters
+    ----------
+    state : StoreState
+        What the platform holds.
+    clock : VirtualClock
+        The process's clock; answers wait while it is paused.
+    random_source : random.Random
+        Draws which answers are lost.
+
+    Attributes
+    ----------
+    delay : timedelta
+        One way, each way.
+    timeout : timedelta
+        After which a call with no answer fails.
+    reachable : bool
+        Set to False to cut this process off.
+    lost_reply_rate : float
+        Part of the calls that take effect and lose their answer.
+    stale_reads : int
+        Reads answer from this many revisions ago.
+    doubles_events : bool
+        Whether watch events come twice.
+    lost_event_rate : float
+        Part of the watch events that never come.
+    calls : int
+        Calls made.
+    """
+
+    def __init__(self, state, clock, random_source=None):
+        self.state = state
+        self.clock = clock
+        self.random = random_source or random.Random(0)
+        self.delay = timedelta(milliseconds=1)
+        self.timeout = timedelta(seconds=2)
+        self.reachable = True
+        self.lost_reply_rate = 0.0
+        self.lost_event_rate = 0.0
+        self.stale_reads = 0
+        self.doubles_events = False
+        self.calls = 0
+
+    def read(self, kind, name):
+        """Give the object."""
+        return self._call(self._read, kind, name)
+
+    def list_page(self, kind, page=""):
+        """Give a page of the objects of a kind, by name."""
+        return self._call(self._list_page, kind, page)
+
+    def create(self, kind, name, value):
+        """Create the object."""
+        return self._call(self._write, kind, name, value, None, writes=True)
+
+    def update(self, kind, name, value, version):
+        """Replace the object."""
+        return self._call(self._write, kind, name, value, version, writes=True)
+
+    def delete(self, kind, name, version):
+        """Delete the object."""
+        return self._call(self._delete, kind, name, version, writes=True)
+
+    def watch(self, kinds, revision, on_events, on_end):
+        """Watch kinds from a revision on."""
+        self.calls += 1
+        watch = _FakeWatch(self, kinds, on_events, on_end)
+        if not self.is_up():
+            self.answer_later(watch.end, StoreUnavailable("object API is down"))
+            return watch
+        missed = [
+            written
+            for written in self.state.history
+            if written.version > revision and written.kind in kinds
+        ]
+        if missed:
+            watch.replay(missed, self.state.revision)
+        return watch
+
+    def end_watches(self):
+        """End this process's watches, as an outage or a cut does."""
+        for watch in list(self.state.watches):
+            if watch._store is self:
+                self.answer_later(watch.end, WatchExpired("watch ended"))
+
+    def is_up(self):
+        """Whether calls of this process reach the platform now."""
+        return self.state.available and self.reachable
+
+    def loses(self, what):
+        """Draw whether an answer or an event is lost."""
+        if not self.is_up():
+            return True
+        rate = self.lost_event_rate if what == "watch" else self.lost_reply_rate
+        return rate > 0 and self.random.random() < rate
+
+    def answer_later(self, function, *arguments):
+        """Call the process back after the way back."""
+        when = self.clock.time.elapsed + self.delay
+        self.clock.time.schedule(when, self.clock.run_when_awake, function, *arguments)
+
+    def _call(self, operation, *arguments, writes=False):
+        self.calls += 1
+        result = Deferred()
+        arrival = self.clock.time.elapsed + self.delay
+        self.clock.time.schedule(
+            arrival, self._arrive, result, operation, arguments, writes
+        )
+        return result
+
+    def _arrive(self, result, operation, arguments, writes):
+        if not self.is_up():
+            error = StoreUnavailable("object API is down")
+            self._fail_after_timeout(result, error)
+            return
+        outcome, failed = self._try(operation, arguments)
+        if self.loses("reply"):
+            lost = WriteOutcomeUnknown if writes else StoreUnavailable
+            self._fail_after_timeout(result, lost("no answer"))
+            return
+        callback = result.errback if failed else result.callback
+        self.answer_later(callback, outcome)
+
+    def _fail_after_timeout(self, result, error):
+        when = self.clock.time.elapsed + self.timeout
+        self.clock.time.schedule(when, self.clock.run_when_awake, result.errback, error)
+
+    @staticmethod
+    def _try(operation, arguments):
+        try:
+            return operation(*arguments), False
+        except Exception as error:
+            return error, True
+
+    def _read(self, kind, name):
+        found = self._view().get((kind, name))
+        if found is None:
+            raise ObjectNotFound(f"{kind.value}/{name}")
+        return found
+
+    def _list_page(self, kind, page):
+        view = self._view()
+        names = sorted(name for found, name in view if found is kind and name > page)
+        shown = tuple(view[kind, name] for name in names[:PAGE_SIZE])
+        more = shown[-1].name if len(names) > PAGE_SIZE else ""
+        return ObjectPage(shown, self.state.revision - self.stale_reads, more)
+
+    def _view(self):
+        if not self.stale_reads:
+            return self.state.objects
+        view = {}
+        for written in self.state.history:
+            if written.version > self.state.revision - self.stale_reads:
+                break
+            view[written.kind, written.name] = written
+        return {key: found for key, found in view.items() if not found.deleted}
+
+    def _write(self, kind, name, value, version):
+        if len(value) > MAXIMUM_VALUE_BYTES:
+            raise ObjectTooLarge(f"{kind.value}/{name}: {len(value)} bytes")
+        self._check_version(kind, name, version)
+        return self.state.put(kind, name, value)
+
+    def _delete(self, kind, name, version):
+        if (kind, name) not in self.state.objects:
+            raise ObjectNotFound(f"{kind.value}/{name}")
+        self._check_version(kind, name, version)
+        return self.state.put(kind, name, b"", deleted=True)
+
+    def _check_version(self, kind, name, version):
+        current = self.state.objects.get((kind, name))
+        if (current.version if current else None) != version:
+            raise VersionConflict(f"{kind.value}/{name}", current)
--- /dev/null
+++ b/libs/fakes/tests/test_store.py
@@ -0,0 +1,56 @@
+import unittest
+from datetime import timedelta
+
+from balsamspoke_fakes import FakeStore, StoreState, VirtualClock, VirtualTime
+from balsamspoke_types.exceptions import (
+    ObjectNotFound,
+    StoreUnavailable,
+    VersionConflict,
+    WriteOutcomeUnknown,
+)
+from balsamspoke_types.objects import Kind
+
+
+class FakeStoreTest(unittest.TestCase):
+    def setUp(self):
+        self.time = VirtualTime()
+        self.store = FakeStore(StoreState(), VirtualClock(self.time))
+
+    def settle(self, deferred):
+        results = []
+        deferred.addBoth(results.append)
+        self.time.advance(timedelta(seconds=5))
+        return results[0]
+
+    def assert_fails(self, deferred, expected):
+        failure = self.settle(deferred)
+        self.assertIsInstance(failure.value, expected)
+
+    def test_conditional_writes(self):
+        made = self.settle(self.store.create(Kind.TEAM, "a", b"1"))
+        self.assert_fails(self.store.create(Kind.TEAM, "a", b"2"), VersionConflict)
+        changed = self.settle(self.store.update(Kind.TEAM, "a", b"3", made.version))
+        self.assertEqual(changed.value, b"3")
+        stale = self.store.update(Kind.TEAM, "a", b"4", made.version)
+        self.assert_fails(stale, VersionConflict)
+        self.settle(self.store.delete(Kind.TEAM, "a", changed.version))
+        self.assert_fails(self.store.read(Kind.TEAM, "a"), ObjectNotFound)
+
+    def test_lost_reply_takes_effect(self):
+        self.store.lost_reply_rate = 1.0
+        write = self.store.create(Kind.TEAM, "a", b"1")
+        self.assert_fails(write, WriteOutcomeUnknown)
+        self.store.lost_reply_rate = 0.0
+        self.assertEqual(self.settle(self.store.read(Kind.TEAM, "a")).value, b"1")
+
+    def test_outage(self):
+        self.store.state.available = False
+        self.assert_fails(self.store.read(Kind.TEAM, "a"), StoreUnavailable)
+
+    def test_watch_sees_later_writes_only(self):
+        made = self.settle(self.store.create(Kind.TEAM, "a", b"1"))
+        seen = []
+        self.store.watch((Kind.TEAM,), made.version, seen.append, self.fail)
+        self.settle(self.store.create(Kind.TEAM, "b", b"2"))
+        names = [found.name for page in seen for found in page.objects]
+        self.assertEqual(names, ["b"])
--- /dev/null
+++ b/libs/limits/src/balsamspoke_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Token buckets and the division of team budgets over processes."""
--- /dev/null
+++ b/libs/membership/src/balsamspoke_membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which processes are live, leaving or gone."""
--- /dev/null
+++ b/libs/platform/src/balsamspoke_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's object API and VM list."""
--- /dev/null
+++ b/libs/replica/src/balsamspoke_replica/__init__.py
@@ -0,0 +1,1 @@
+"""A backend server's queue, adapter slots, loads, drain and fencing."""
--- /dev/null
+++ b/libs/routing/src/balsamspoke_routing/__init__.py
@@ -0,0 +1,1 @@
+"""Replica choice, retries and the outcome of each attempt."""
--- /dev/null
+++ b/libs/types/src/balsamspoke_types/__init__.py
@@ -0,0 +1,1 @@
+"""Shared identifiers, typed messages, errors and ports."""
--- /dev/null
+++ b/libs/types/src/balsamspoke_types/ports/__init__.py
@@ -0,0 +1,45 @@
+"""Abstract base classes of all that a node core needs from outside."""
+
+from .backend import (
+    Engine,
+    EngineReport,
+    Generation,
+    GenerationOrder,
+    GenerationSink,
+    PlainServiceClient,
+    ServiceRequest,
+    ServiceResponse,
+)
+from .clock import Clock, Timer
+from .platform import (
+    ObjectPage,
+    ObjectStore,
+    StoredObject,
+    VmList,
+    VmRecord,
+    VmState,
+    Watch,
+)
+from .transport import PeerHandler, PeerTransport
+
+__all__ = [
+    "Clock",
+    "Engine",
+    "EngineReport",
+    "Generation",
+    "GenerationOrder",
+    "GenerationSink",
+    "ObjectPage",
+    "ObjectStore",
+    "PeerHandler",
+    "PeerTransport",
+    "PlainServiceClient",
+    "ServiceRequest",
+    "ServiceResponse",
+    "StoredObject",
+    "Timer",
+    "VmList",
+    "VmRecord",
+    "VmState",
+    "Watch",
+]
--- /dev/null
+++ b/libs/wire/src/balsamspoke_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Encoding of the messages between processes, with the generated code."""
