--- a/libs/types/src/balsamspoke_types/ports/platform.py
+++ b/libs/types/src/balsamspoke_types/ports/platform.py
@@ -4,6 +4,8 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
+from ..objects import Kind
+
 
 @dataclass(frozen=True, slots=True)
 class StoredObject:
@@ -24,7 +26,7 @@
         Whether this says that the object was deleted at that version.
     """
 
-    kind: object
+    kind: Kind
     name: str
     version: int
     value: bytes
--- a/libs/wire/src/balsamspoke_wire/__init__.py
+++ b/libs/wire/src/balsamspoke_wire/__init__.py
@@ -1,1 +1,12 @@
 """Encoding of the messages between processes, with the generated code."""
+
+from .codec import PROTOCOL_VERSION, decode_batch, encode_batch, encode_hello
+from .exceptions import WireError
+
+__all__ = [
+    "PROTOCOL_VERSION",
+    "WireError",
+    "decode_batch",
+    "encode_batch",
+    "encode_hello",
+]
