--- a/libs/node/src/balsamspoke_node/__init__.py
+++ b/libs/node/src/balsamspoke_node/__init__.py
@@ -1,1 +1,32 @@
 """The cores of the entry and side processes, built from ports alone."""
+
+from .callers import CallerRequest, Exchange, Responder
+from .entry import EntryNode
+from .events import (
+    CatalogueAdvanced,
+    Observer,
+    RequestEnded,
+    SilentObserver,
+    StopStarted,
+    TokensGap,
+)
+from .identity import NodeIdentity
+from .settings import EntrySettings, SideSettings
+from .side import SideNode
+
+__all__ = [
+    "CallerRequest",
+    "CatalogueAdvanced",
+    "EntryNode",
+    "EntrySettings",
+    "Exchange",
+    "NodeIdentity",
+    "Observer",
+    "RequestEnded",
+    "Responder",
+    "SideNode",
+    "SideSettings",
+    "SilentObserver",
+    "StopStarted",
+    "TokensGap",
+]
--- /dev/null
+++ b/libs/node/src/balsamspoke_node/generation.py
@@ -0,0 +1,184 @@
+"""One request to generate, from its admission to its last token."""
+
+from datetime import timedelta
+
+from balsamspoke_limits import BudgetRefused
+from balsamspoke_routing import AnswerSink, GenerationRequest
+from balsamspoke_types.outcomes import Cause, Ran, Refusal
+
+from .callers import Exchange
+from .events import RequestEnded, TokensGap
+
+# Credit goes back in steps, so that not every token costs a message.
+CREDIT_STEP_TOKENS = 64
+
+
+class GenerationExchange(Exchange, AnswerSink):
+    """Reserve the tokens, run the request, write the answer, settle the rest.
+
+    Parameters
+    ----------
+    context : EntryContext
+        What all exchanges of an entry process share.
+    request_id : str
+        Id of the caller's request.
+    principal : Principal
+        Whose request it is.
+    target : Target
+        What it runs on.
+    completion : CompletionRequest
+        What was asked for.
+    writer : AnswerWriter
+        Where the answer goes.
+    """
+
+    def __init__(self, context, request_id, principal, target, completion, writer):
+        self._context = context
+        self._request_id = request_id
+        self._principal = principal
+        self._target = target
+        self._completion = completion
+        self._writer = writer
+        self._arrived = context.clock.monotonic()
+        self._max_tokens = _limit_tokens(completion, target.model)
+        self._reservation = None
+        self._running = None
+        self._ended = False
+        self._tokens = 0
+        self._first_token = None
+        self._last_token = None
+        self._longest_gap = None
+        self._paused = False
+        self._uncredited = 0
+
+    def start(self):
+        """Reserve the tokens and go on from there."""
+        payer = self._principal.team or self._target.owner
+        amount = self._completion.prompt_tokens + self._max_tokens
+        reserved = self._context.budgets.reserve(payer, amount)
+        reserved.addCallbacks(self._run, self._refuse_for_budget)
+        reserved.addErrback(self._context.report_failure, self.refuse)
+
+    def add_tokens(self, text, count):
+        """Write tokens on to the caller."""
+        self._note_token_time()
+        self._tokens += count
+        self._writer.add_text(text)
+        self._uncredited += count
+        if not self._paused:
+            self._give_credit()
+
+    def finish(self, reason, total_tokens):
+        """Write the end of the whole answer."""
+        if self._end(None):
+            self._writer.finish(reason, total_tokens)
+
+    def answer(self, response):
+        """Refuse what no engine sends."""
+        self.refuse(_make_internal_refusal())
+
+    def refuse(self, refusal):
+        """Write that there is no whole answer."""
+        if self._end(refusal):
+            self._writer.refuse(refusal)
+
+    def cancel(self):
+        """Stop the work for a caller that is gone."""
+        gone = Refusal(Cause.CANCELLED, Ran.UNKNOWN, "the caller went away")
+        if self._end(gone) and self._running is not None:
+            self._running.cancel()
+
+    def pause(self):
+        """Give no more credit until the caller has caught up."""
+        self._paused = True
+
+    def resume(self):
+        """Give the credit that was held back."""
+        self._paused = False
+        self._give_credit()
+
+    def _run(self, reservation):
+        if self._ended:
+            reservation.settle(0)
+            return
+        self._reservation = reservation
+        principal, target = self._principal, self._target
+        request = GenerationRequest(
+            request=self._request_id,
+            team=principal.team,
+            model=target.model.name,
+            adapter=target.adapter,
+            body=self._completion.body,
+            max_tokens=self._max_tokens,
+            priority=target.priority,
+            weight=self._context.find_weight(principal.team),
+            deadline=self._context.settings.first_token_timeout,
+            key_record=principal.key_record,
+            key_version=principal.key_version,
+        )
+        self._running = self._context.runner.run_generation(request, self)
+
+    def _refuse_for_budget(self, failure):
+        failure.trap(BudgetRefused)
+        self.refuse(make_budget_refusal(failure.value))
+
+    def _give_credit(self):
+        if self._uncredited >= CREDIT_STEP_TOKENS and self._running is not None:
+            count, self._uncredited = self._uncredited, 0
+            self._running.credit(count)
+
+    def _note_token_time(self):
+        now = self._context.clock.monotonic()
+        if self._first_token is None:
+            self._first_token = now
+        else:
+            gap = now - self._last_token
+            self._longest_gap = max(self._longest_gap or gap, gap)
+            self._context.observe(TokensGap(self._principal.team, gap))
+        self._last_token = now
+
+    def _end(self, refusal):
+        """Settle and report once; return whether this was the first end."""
+        if self._ended:
+            return False
+        self._ended = True
+        if self._reservation is not None:
+            self._reservation.settle(self._count_used(refusal))
+        self._context.end_exchange(self, self._describe_end(refusal))
+        return True
+
+    def _count_used(self, refusal):
+        if refusal is not None and refusal.ran is Ran.NOT_RUN:
+            return 0
+        return self._completion.prompt_tokens + self._tokens
+
+    def _describe_end(self, refusal):
+        now = self._context.clock.monotonic()
+        first = self._first_token
+        return RequestEnded(
+            request=self._request_id,
+            team=self._principal.team,
+            target=str(self._target.adapter or self._target.model.name),
+            priority=self._target.priority,
+            refusal=refusal,
+            duration=now - self._arrived,
+            first_token=None if first is None else first - self._arrived,
+            tokens=self._tokens,
+            longest_gap=self._longest_gap,
+        )
+
+
+def make_budget_refusal(error):
+    """Return the Refusal that tells a caller of a BudgetRefused."""
+    return Refusal(error.cause, Ran.NOT_RUN, str(error), error.retry_after)
+
+
+def _make_internal_refusal():
+    return Refusal(
+        Cause.INTERNAL, Ran.UNKNOWN, "unexpected answer", timedelta(seconds=1)
+    )
+
+
+def _limit_tokens(completion, model):
+    wanted = completion.max_tokens or model.default_max_tokens
+    return min(wanted, model.max_tokens)
--- /dev/null
+++ b/libs/node/src/balsamspoke_node/side.py
@@ -0,0 +1,209 @@
+"""The core of a side process, built from its ports alone."""
+
+from balsamspoke_catalogue import CatalogueKeeper
+from balsamspoke_membership import Membership, MemberState
+from balsamspoke_replica import EngineReplica, ServiceReplica
+from balsamspoke_types.objects import Kind
+from balsamspoke_types.ports import PeerHandler
+from twisted.internet.defer import succeed
+
+from .events import SilentObserver, StopStarted
+from .settings import SideSettings
+
+# A side process needs no teams and no adapters: requests name all they need.
+SIDE_KINDS = (Kind.MODEL, Kind.SERVICE, Kind.KEY)
+
+
+class SideNode(PeerHandler):
+    """The core of a side process.
+
+    Parameters
+    ----------
+    process : ProcessId
+        This run.
+    identity : NodeIdentity
+        Where it runs, with the service of its backend server.
+    clock : Clock
+    random_source : random.Random
+    store : ObjectStore
+    vm_list : VmList
+    transport : PeerTransport
+    engine : Engine or None
+        The backend server, if it is an engine.
+    service : PlainServiceClient or None
+        The backend server, if it is a plain service.
+    fencing : int
+        Fencing number of the orders of this run, larger than earlier runs'.
+    is_holder : callable
+        Tells whether this process still is the one beside its backend server.
+    settings : SideSettings, optional
+    observer : Observer, optional
+        Who is told of events.
+    """
+
+    def __init__(
+        self,
+        process,
+        identity,
+        clock,
+        random_source,
+        store,
+        vm_list,
+        transport,
+        engine=None,
+        service=None,
+        fencing=0,
+        is_holder=lambda: True,
+        settings=None,
+        observer=None,
+    ):
+        settings = settings or SideSettings()
+        self.process = process
+        self.identity = identity
+        self._clock = clock
+        self._random = random_source
+        self._transport = transport
+        self._engine = engine
+        self._service = service
+        self._fencing = fencing
+        self._is_holder = is_holder
+        self._settings = settings
+        self._observer = observer or SilentObserver()
+        self.replica = None
+        self.catalogue = CatalogueKeeper(
+            process,
+            clock,
+            random_source,
+            store,
+            transport.send,
+            settings.catalogue,
+            kinds=SIDE_KINDS,
+            on_change=self._note_catalogue,
+        )
+        self.membership = Membership(
+            process,
+            identity.vm,
+            clock,
+            random_source,
+            vm_list,
+            transport,
+            settings.membership,
+            get_revision=self._get_revision,
+            on_change=self._note_members,
+            on_vms=lambda records, asked_at: None,
+            is_wanted=lambda vm: False,
+        )
+        self._connected = set()
+        self._stopping = False
+        transport.bind(self)
+
+    def start(self):
+        """Start to take part; the replica opens once its model is known."""
+        self.catalogue.start()
+        self.membership.start()
+        if self._service is not None:
+            self._open_replica(self._make_service_replica())
+
+    def stop(self):
+        """End at once; for a planned stop call ``drain`` before."""
+        if self.replica is not None:
+            self.replica.stop()
+        self.membership.stop()
+        self.catalogue.stop()
+
+    @property
+    def is_ready(self):
+        """Whether the backend server can be given work."""
+        return self.replica is not None and not self._stopping
+
+    def drain(self):
+        """Stop as planned: queued requests move on, running ones end.
+
+        Returns
+        -------
+        Deferred
+            Fires when nothing runs any more.
+        """
+        self._stopping = True
+        self._observer.observe(StopStarted())
+        self.membership.announce_leaving()
+        return self.replica.drain() if self.replica is not None else succeed(None)
+
+    def peer_connected(self, peer):
+        """Note a connection."""
+        self._connected.add(peer)
+        self.membership.peer_connected(peer)
+        self.catalogue.peer_connected(peer)
+        if self.replica is not None:
+            self.replica.peer_connected(peer)
+
+    def peer_disconnected(self, peer):
+        """Note the loss of a connection."""
+        self._connected.discard(peer)
+        self.membership.peer_disconnected(peer)
+        self.catalogue.peer_disconnected(peer)
+        if self.replica is not None:
+            self.replica.peer_disconnected(peer)
+
+    def peer_message(self, peer, message):
+        """Hand a message to whom it concerns."""
+        if self.replica is not None and self.replica.peer_message(peer, message):
+            return
+        _ = self.membership.peer_message(peer, message) or self.catalogue.peer_message(
+            peer, message
+        )
+
+    def _get_revision(self):
+        return self.catalogue.view.revision
+
+    def _note_catalogue(self):
+        if self._engine is None:
+            return
+        model = self.catalogue.view.model(self.identity.service)
+        if model is None:
+            return
+        if self.replica is None:
+            self._open_replica(self._make_engine_replica(model))
+        else:
+            self.replica.set_model(model)
+
+    def _note_members(self):
+        members = self.membership.members()
+        usable = [one for one in members if one.state is not MemberState.SUSPECT]
+        for member in usable:
+            self.catalogue.note_revision(member.process, member.catalogue_revision)
+        self.catalogue.set_peers(tuple(one.process for one in usable))
+
+    def _open_replica(self, replica):
+        self.replica = replica
+        replica.start()
+        for peer in sorted(self._connected):
+            replica.peer_connected(peer)
+
+    def _make_engine_replica(self, model):
+        return EngineReplica(
+            self.process,
+            model,
+            self._clock,
+            self._random,
+            self._engine,
+            self._transport.send,
+            self.catalogue.view.is_key_valid,
+            self._fencing,
+            self._is_holder,
+            self._settings.replica,
+            on_event=self._observer.observe,
+        )
+
+    def _make_service_replica(self):
+        return ServiceReplica(
+            self.process,
+            self.identity.service,
+            self._clock,
+            self._random,
+            self._service,
+            self._transport.send,
+            self.catalogue.view.is_key_valid,
+            self._settings.replica,
+            on_event=self._observer.observe,
+        )
