Add stand-ins of the platform and backend servers, and their HTTP clients

Object API, VM list, engine and booking service as programs; HttpObjectStore, HttpVmList, HttpEngine, HttpPlainService and ReactorClock against them.

--- a/libs/platform/src/balsamspoke_platform/__init__.py
+++ b/libs/platform/src/balsamspoke_platform/__init__.py
@@ -1,1 +1,28 @@
-"""Clients of the platform's object API and VM list."""
+"""Clients of the platform and of the backend servers, over HTTP."""
+
+from .clock import ReactorClock
+from .engine import HttpEngine
+from .event_stream import EventStreamParser
+from .exceptions import EventStreamError, HttpFailure, NotSent, ReplyLost
+from .http import HttpCaller, HttpReply, build_agent
+from .plain_service import HttpPlainService
+from .settled_write import write_settled
+from .store import HttpObjectStore
+from .vm_list import HttpVmList
+
+__all__ = [
+    "EventStreamError",
+    "EventStreamParser",
+    "HttpCaller",
+    "HttpEngine",
+    "HttpFailure",
+    "HttpObjectStore",
+    "HttpPlainService",
+    "HttpReply",
+    "HttpVmList",
+    "NotSent",
+    "ReactorClock",
+    "ReplyLost",
+    "build_agent",
+    "write_settled",
+]
--- /dev/null
+++ b/libs/platform/src/balsamspoke_platform/vm_list.py
@@ -0,0 +1,55 @@
+"""The VM list over HTTP."""
+
+from datetime import timedelta
+
+import orjson
+from balsamspoke_types.exceptions import VmListUnavailable
+from balsamspoke_types.ports import VmList, VmRecord, VmState
+from twisted.internet.defer import inlineCallbacks
+
+from .exceptions import HttpFailure
+
+TIMEOUT = timedelta(seconds=2)
+_OK = 200
+
+
+class HttpVmList(VmList):
+    """Fetch the VM list.
+
+    Parameters
+    ----------
+    caller : HttpCaller
+        Calls the VM list.
+    timeout : timedelta
+        For one fetch.
+    """
+
+    def __init__(self, caller, timeout=TIMEOUT):
+        self._caller = caller
+        self._timeout = timeout
+
+    @inlineCallbacks
+    def fetch(self):
+        """Return a Deferred of a tuple of VmRecord; fails with VmListUnavailable."""
+        try:
+            reply = yield self._caller.call("GET", "/vms", self._timeout)
+        except HttpFailure as error:
+            raise VmListUnavailable(str(error)) from error
+        if reply.status != _OK:
+            raise VmListUnavailable(f"the VM list answered {reply.status}")
+        try:
+            return tuple(_read_record(item) for item in orjson.loads(reply.body))
+        except (ValueError, KeyError, TypeError) as error:
+            raise VmListUnavailable(f"not a VM list: {error!r}") from error
+
+
+def _read_record(item):
+    return VmRecord(
+        vm=item["vm"],
+        address=item["address"],
+        region=item["region"],
+        failure_domain=item["failure_domain"],
+        role=item["role"],
+        service=item.get("service", ""),
+        state=VmState(item.get("state", VmState.LIVE.value)),
+    )
--- a/libs/standins/src/balsamspoke_standins/__init__.py
+++ b/libs/standins/src/balsamspoke_standins/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for the platform and the backend servers, and a load tool."""
+"""Small programs that take the place of the platform and of backend servers."""
--- /dev/null
+++ b/libs/standins/src/balsamspoke_standins/engine.py
@@ -0,0 +1,177 @@
+"""A stand-in for an engine, in the OpenAI-compatible format.
+
+Beyond that format the headers ``X-Request-Id``, ``X-Fencing``, ``X-Priority`` and
+``X-Resume-Offset`` are understood, and the paths ``/v1/requests/ID/cancel``,
+``/load`` and ``/control``.
+"""
+
+import itertools
+
+from .batch import Batch, EngineSettings
+from .serving import (
+    HttpError,
+    StandInResource,
+    change_settings,
+    get_reactor,
+    make_json_answer,
+    make_parser,
+    read_json,
+    serve,
+)
+from .token_stream import TokenStream
+
+_BAD_REQUEST = 400
+_NOT_FOUND = 404
+
+
+class EngineResource(StandInResource):
+    """The paths of an engine.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Runs the timers.
+    model : str
+        Name of the base model.
+    settings : EngineSettings
+        Costs and limits.
+    """
+
+    def __init__(self, reactor, model, settings=None):
+        super().__init__()
+        self.settings = settings or EngineSettings()
+        self.batch = Batch(reactor, self.settings)
+        self._model = model
+        self._names = itertools.count(1)
+        self.started = 0
+        self.routes = {
+            ("GET", "load"): self._show_load,
+            ("GET", "health"): self._show_load,
+            ("GET", "control"): self._show_control,
+            ("POST", "control"): self._change_control,
+            ("GET", "v1"): self._get_version_1,
+            ("POST", "v1"): self._post_version_1,
+        }
+
+    def _get_version_1(self, request, what):
+        if what != "models":
+            raise HttpError(_NOT_FOUND, "no such path")
+        names = [self._model, *self.batch.adapters]
+        models = [{"id": name, "object": "model"} for name in names]
+        return make_json_answer({"object": "list", "data": models})
+
+    def _post_version_1(self, request, what, *segments):
+        if what == "completions" or (what, *segments) == ("chat", "completions"):
+            return self._generate(request)
+        if what == "load_lora_adapter":
+            return self._load(request)
+        if what == "unload_lora_adapter":
+            return self._unload(request)
+        if what == "requests" and segments[1:] == ("cancel",):
+            return self._cancel(segments[0])
+        raise HttpError(_NOT_FOUND, "no such path")
+
+    def _generate(self, request):
+        document = read_json(request)
+        self.batch.check_fencing(_read_number(request, "x-fencing"))
+        model = document.get("model")
+        if model != self._model and model not in self.batch.adapters:
+            raise HttpError(_NOT_FOUND, f"{model} is not loaded")
+        stream = TokenStream(
+            request,
+            document,
+            request.getHeader("x-request-id") or f"request-{next(self._names)}",
+            _read_number(request, "x-priority"),
+            _read_number(request, "x-resume-offset"),
+            self.batch.end,
+        )
+        request.notifyFinish().addErrback(lambda _: self.batch.end(stream))
+        self.started += 1
+        stream.begin()
+        self.batch.add(stream)
+
+    def _load(self, request):
+        name = self._read_order(request)
+        return self.batch.load(name).addCallback(lambda _: make_json_answer({}))
+
+    def _unload(self, request):
+        self.batch.unload(self._read_order(request))
+        return make_json_answer({})
+
+    def _read_order(self, request):
+        document = read_json(request)
+        name = document.get("lora_name")
+        if not isinstance(name, str) or ":" not in name:
+            raise HttpError(_BAD_REQUEST, "lora_name must be ADAPTER:VERSION")
+        self.batch.check_fencing(_read_number(request, "x-fencing"))
+        return name
+
+    def _cancel(self, name):
+        stream = self.batch.find(name)
+        if stream is None:
+            raise HttpError(_NOT_FOUND, "no such request")
+        self.batch.end(stream)
+        stream.abort()
+        return make_json_answer({})
+
+    def _show_load(self, request):
+        return make_json_answer(
+            {
+                "boot": self.batch.boot,
+                "running": len(self.batch.running),
+                "waiting": self.batch.waiting,
+                "adapters": list(self.batch.adapters),
+            }
+        )
+
+    def _show_control(self, request):
+        counts = {
+            "boot": self.batch.boot,
+            "started": self.started,
+            "loads": self.batch.loads,
+            "evicted_in_use": self.batch.evicted_in_use,
+        }
+        return make_json_answer({**vars(self.settings), **counts})
+
+    def _change_control(self, request):
+        document = read_json(request)
+        restarts = document.pop("restart", False)
+        change_settings(self.settings, document)
+        if restarts:
+            self.batch.restart()
+        elif "token_ms" in document:
+            self.batch.use_token_time()
+        return self._show_control(request)
+
+
+def _read_number(request, header):
+    try:
+        return int(request.getHeader(header) or 0)
+    except ValueError as error:
+        raise HttpError(_BAD_REQUEST, f"{header} is not a number") from error
+
+
+def main():
+    """Serve an engine until SIGTERM."""
+    parser = make_parser(__doc__)
+    defaults = EngineSettings()
+    parser.add_argument("--model", required=True, help="name of the base model")
+    parser.add_argument("--slots", type=int, default=defaults.slots)
+    parser.add_argument("--batch", type=int, default=defaults.batch)
+    parser.add_argument("--token-ms", type=int, default=defaults.token_ms)
+    parser.add_argument("--load-ms", type=int, default=defaults.load_ms)
+    parser.add_argument("--obeys-fencing", action="store_true")
+    arguments = parser.parse_args()
+    settings = EngineSettings(
+        token_ms=arguments.token_ms,
+        load_ms=arguments.load_ms,
+        slots=arguments.slots,
+        batch=arguments.batch,
+        obeys_fencing=arguments.obeys_fencing,
+    )
+    resource = EngineResource(get_reactor(), arguments.model, settings)
+    serve("engine", arguments.listen, resource)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/libs/standins/tests/test_engine.py
@@ -0,0 +1,164 @@
+import unittest
+
+import orjson
+from balsamspoke_platform import HttpEngine
+from balsamspoke_standins.batch import EngineSettings
+from balsamspoke_standins.engine import EngineResource
+from balsamspoke_standins.tokens import make_text
+from balsamspoke_types.exceptions import (
+    BackendLost,
+    BackendRefused,
+    BackendUnreachable,
+)
+from balsamspoke_types.identifiers import AdapterRef
+from balsamspoke_types.ports import GenerationOrder, GenerationSink
+
+from .memory_network import MemoryNetwork
+
+PORT = 1
+ADAPTER = AdapterRef("tides", 3)
+BODY = {"model": "tides", "prompt": "when is high water?"}
+
+
+class Sink(GenerationSink):
+    def __init__(self):
+        self.chunks = []
+        self.end = None
+        self.error = None
+
+    def add_tokens(self, offset, text, count):
+        assert self.end is None and self.error is None
+        self.chunks.append((offset, text, count))
+
+    def finish(self, reason, offset):
+        assert self.end is None and self.error is None
+        self.end = (reason, offset)
+
+    def fail(self, error):
+        assert self.end is None and self.error is None
+        self.error = error
+
+    @property
+    def text(self):
+        return "".join(text for _, text, _ in self.chunks)
+
+
+class EngineTests(unittest.TestCase):
+    def setUp(self):
+        self.network = MemoryNetwork()
+        self.settings = EngineSettings(batch=2, slots=2)
+        clock = self.network.clock
+        self.resource = EngineResource(clock, "base", self.settings)
+        self.engine = HttpEngine(self.network.add(PORT, self.resource), "base")
+
+    def load(self, adapter=ADAPTER, fencing=1):
+        return self.network.get(self.engine.load_adapter(adapter, fencing))
+
+    def generate(self, request="r1", max_tokens=5, body=BODY, **fields):
+        sink = Sink()
+        order = GenerationOrder(
+            request,
+            fields.pop("adapter", ADAPTER),
+            orjson.dumps(body),
+            max_tokens,
+            **fields,
+        )
+        return self.engine.generate(order, sink), sink
+
+    def test_whole_answer(self):
+        self.load()
+        _, sink = self.generate()
+        self.network.run(1)
+        self.assertEqual(sink.text, make_text("tides:3", BODY, 0, 5))
+        self.assertEqual([offset for offset, _, _ in sink.chunks], [0, 1, 2, 3, 4])
+        self.assertEqual(sink.end, ("length", 5))
+
+    def test_chat_and_early_stop(self):
+        self.load()
+        body = {"messages": [{"role": "user", "content": "stop after 2"}]}
+        _, sink = self.generate(body=body)
+        self.network.run(1)
+        self.assertEqual(sink.text, make_text("tides:3", body, 0, 2))
+        self.assertEqual(sink.end, ("stop", 2))
+
+    def test_resumed_answer_continues_the_first(self):
+        self.load()
+        first = make_text("tides:3", BODY, 0, 3)
+        _, sink = self.generate(resume_offset=3, resume_text=first)
+        self.network.run(1)
+        self.assertEqual(first + sink.text, make_text("tides:3", BODY, 0, 5))
+        self.assertEqual(sink.end, ("length", 5))
+
+    def test_adapter_not_loaded_and_base_model(self):
+        _, refused = self.generate()
+        _, answered = self.generate("r2", adapter=None)
+        self.network.run(1)
+        self.assertIsInstance(refused.error, BackendRefused)
+        self.assertEqual(refused.error.status, 404)
+        self.assertEqual(answered.text, make_text("base", BODY, 0, 5))
+
+    def test_restart_in_mid_answer_is_lost_and_empties_the_slots(self):
+        self.load()
+        before = self.network.get(self.engine.report())
+        _, sink = self.generate(max_tokens=50)
+        self.network.run(0.2)
+        self.resource.batch.restart()
+        self.network.run(0.1)
+        after = self.network.get(self.engine.report())
+        self.assertIsInstance(sink.error, BackendLost)
+        self.assertEqual(before.adapters, (ADAPTER,))
+        self.assertEqual(after.adapters, ())
+        self.assertNotEqual(before.boot, after.boot)
+
+    def test_no_connection(self):
+        del self.network.sites[PORT]
+        _, sink = self.generate()
+        self.network.run(0.1)
+        self.assertIsInstance(sink.error, BackendUnreachable)
+        with self.assertRaises(BackendUnreachable):
+            self.load()
+
+    def test_cancel_frees_the_place_and_is_silent(self):
+        self.load()
+        runs = [self.generate(f"r{number}", max_tokens=50) for number in range(3)]
+        self.network.run(0.2)
+        report = self.network.get(self.engine.report())
+        self.assertEqual((report.running, report.waiting), (2, 1))
+        runs[0][0].cancel()
+        runs[2][0].cancel()
+        count = len(runs[0][1].chunks)
+        self.network.run(0.2)
+        report = self.network.get(self.engine.report())
+        self.assertEqual((report.running, report.waiting), (1, 0))
+        self.assertEqual(len(runs[0][1].chunks), count)
+        self.assertIsNone(runs[0][1].error)
+
+    def test_failed_load_and_full_slots(self):
+        self.settings.failing_adapters.append("bad:1")
+        with self.assertRaises(BackendRefused):
+            self.load(AdapterRef("bad", 1))
+        self.load()
+        self.load(AdapterRef("tides", 4))
+        with self.assertRaises(BackendRefused):
+            self.load(AdapterRef("tides", 5))
+        self.network.get(self.engine.unload_adapter(ADAPTER, 1))
+        self.load(AdapterRef("tides", 5))
+
+    def test_old_fencing_number(self):
+        self.load(fencing=7)
+        self.network.get(self.engine.unload_adapter(ADAPTER, 6))
+        self.settings.obeys_fencing = True
+        with self.assertRaises(BackendRefused) as caught:
+            self.load(fencing=6)
+        self.assertEqual(caught.exception.status, 409)
+        self.load(fencing=7)
+        _, sink = self.generate(fencing=6)
+        self.network.run(0.1)
+        self.assertIsInstance(sink.error, BackendRefused)
+
+    def test_lowest_priority_number_runs_first(self):
+        self.load()
+        for name, priority in (("a", 0), ("b", 0), ("late", 2), ("soon", 1)):
+            self.generate(name, priority=priority)
+        self.network.run(0.25)
+        self.assertEqual(set(self.resource.batch.running), {"soon", "late"})
