--- /dev/null
+++ b/libs/daemon/src/balsamspoke_daemon/__main__.py
@@ -0,0 +1,7 @@
+"""Run the daemon by ``python -m balsamspoke_daemon``."""
+
+import sys
+
+from .command import main
+
+sys.exit(main())
--- a/libs/daemon/src/balsamspoke_daemon/definitions.py
+++ b/libs/daemon/src/balsamspoke_daemon/definitions.py
@@ -151,10 +151,11 @@
     Setting("vm_list", parse_url, "Base address of the VM list."),
     Setting("peer_listen", parse_endpoint, "Where other processes of ours connect."),
     Setting(
-        "http_listen",
+        "status_listen",
         parse_endpoint,
-        "Where callers connect (entry), and where status and metrics are served.",
+        "Where status, health and metrics are served to operators.",
     ),
+    Setting("http_listen", parse_endpoint, "Where callers connect.", roles=(ENTRY,)),
     Setting(
         "backend_kind",
         make_choice(BACKEND_KINDS),
--- /dev/null
+++ b/libs/daemon/src/balsamspoke_daemon/metrics.py
@@ -0,0 +1,86 @@
+"""Histograms and counters by OpenTelemetry, served in the Prometheus format."""
+
+from balsamspoke_node import Observer, RequestEnded, TokensGap
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
+from prometheus_client import REGISTRY, generate_latest
+
+# Teams beyond this many share one label, so that memory stays bounded.
+MAXIMUM_TEAM_LABELS = 200
+OTHER_TEAMS = "(other)"
+NO_TEAM = "(open)"
+
+SECONDS_BUCKETS = (
+    0.005, 0.01, 0.02, 0.03, 0.042, 0.06, 0.1, 0.15, 0.25,
+    0.4, 0.63, 1.0, 1.6, 2.5, 4.0, 6.3, 10.0, 20.0, 40.0,
+)  # fmt: skip
+TOKENS_BUCKETS = (1, 4, 16, 64, 256, 1024, 4096)
+
+
+class MetricsObserver(Observer):
+    """Count and time what happens, for each team and class."""
+
+    def __init__(self):
+        seconds = ExplicitBucketHistogramAggregation(SECONDS_BUCKETS)
+        tokens = ExplicitBucketHistogramAggregation(TOKENS_BUCKETS)
+        provider = MeterProvider(
+            metric_readers=[PrometheusMetricReader()],
+            views=[
+                View(instrument_name="*_seconds", aggregation=seconds),
+                View(instrument_name="*_tokens", aggregation=tokens),
+            ],
+        )
+        meter = provider.get_meter("balsamspoke")
+        self._first_token = meter.create_histogram(
+            "balsamspoke_first_token_seconds", description="Arrival to first token."
+        )
+        self._between_tokens = meter.create_histogram(
+            "balsamspoke_between_tokens_seconds", description="Token to next token."
+        )
+        self._duration = meter.create_histogram(
+            "balsamspoke_request_seconds", description="Arrival to final answer."
+        )
+        self._tokens = meter.create_histogram(
+            "balsamspoke_generated_tokens", description="Tokens of an answer."
+        )
+        self._refusals = meter.create_counter(
+            "balsamspoke_refusals", description="Refused requests by cause."
+        )
+        self._events = meter.create_counter(
+            "balsamspoke_events", description="Other events by name."
+        )
+        self._team_labels = {}
+
+    def observe(self, event):
+        """Take an event."""
+        if isinstance(event, TokensGap):
+            labels = {"team": self._label(event.team)}
+            self._between_tokens.record(event.gap.total_seconds(), labels)
+        elif isinstance(event, RequestEnded):
+            self._note_end(event)
+        else:
+            self._events.add(1, {"event": type(event).__name__})
+
+    def _note_end(self, event):
+        team = self._label(event.team)
+        labels = {"team": team, "class": event.priority.value}
+        self._duration.record(event.duration.total_seconds(), labels)
+        if event.first_token is not None:
+            self._first_token.record(event.first_token.total_seconds(), labels)
+            self._tokens.record(event.tokens, labels)
+        if event.refusal is not None:
+            cause = event.refusal.cause.value
+            self._refusals.add(1, {"team": team, "cause": cause})
+
+    def _label(self, team):
+        if team not in self._team_labels:
+            if len(self._team_labels) >= MAXIMUM_TEAM_LABELS:
+                return OTHER_TEAMS
+            self._team_labels[team] = team or NO_TEAM
+        return self._team_labels[team]
+
+
+def read_metrics():
+    """Return all metrics in the Prometheus text format."""
+    return generate_latest(REGISTRY)
--- /dev/null
+++ b/libs/daemon/src/balsamspoke_daemon/process.py
@@ -0,0 +1,167 @@
+"""One run of the daemon: ports opened, node started, stopped as planned."""
+
+import asyncio
+import random
+import secrets
+import signal
+
+from balsamspoke_node import (
+    EntryNode,
+    EntrySettings,
+    NodeIdentity,
+    ObserverGroup,
+    SideNode,
+)
+from balsamspoke_platform import (
+    HttpCaller,
+    HttpEngine,
+    HttpObjectStore,
+    HttpPlainService,
+    HttpVmList,
+    ReactorClock,
+    build_agent,
+)
+from balsamspoke_types.identifiers import ProcessId
+from loguru import logger
+
+from .callers import CallerFactory
+from .credentials import MutualTlsCredentials, PlainCredentials
+from .definitions import ENTRY
+from .endpoints import RenewedCertificate, listen_http
+from .logs import LogObserver, set_up_logs
+from .metrics import MetricsObserver, read_metrics
+from .peers import GrpcTransport
+from .status import describe_entry, describe_side, make_status_site
+
+BOOT_BITS = 62
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class DaemonProcess:
+    """One run of the daemon.
+
+    Parameters
+    ----------
+    settings : Settings
+        The checked settings.
+    reactor : IReactorCore
+        An asyncio reactor.
+    """
+
+    def __init__(self, settings, reactor):
+        self._settings = settings
+        self._reactor = reactor
+        self._loop = asyncio.get_running_loop()
+        self._random = random.Random(secrets.randbits(64))
+        self.process = ProcessId(settings.vm, secrets.randbits(BOOT_BITS))
+        self._clock = ReactorClock(reactor)
+        self._agent = build_agent(reactor)
+        self._transport = GrpcTransport(
+            self.process, self._loop, self._random, _choose_credentials(settings)
+        )
+        self._stopping = False
+        self._ports = []
+        set_up_logs(settings, self.process)
+        self._observer = ObserverGroup(LogObserver(self._clock), MetricsObserver())
+        self._node = self._make_node()
+
+    async def start(self):
+        """Open the ports and start the node.
+
+        Raises
+        ------
+        OSError
+            If an address is in use.
+        """
+        settings = self._settings
+        await self._transport.listen(str(settings.peer_listen))
+        if settings.role == ENTRY:
+            self._open_entry_ports()
+        else:
+            self._open_status(describe_side)
+        self._node.start()
+        for number in STOP_SIGNALS:
+            self._loop.add_signal_handler(number, self._begin_stop)
+        logger.info("started")
+
+    def _make_node(self):
+        settings = self._settings
+        identity = NodeIdentity(
+            settings.vm,
+            settings.region,
+            settings.failure_domain,
+            settings.service or "",
+        )
+        ports = (
+            self.process,
+            identity,
+            self._clock,
+            self._random,
+            HttpObjectStore(self._call(settings.object_api)),
+            HttpVmList(self._call(settings.vm_list)),
+            self._transport,
+        )
+        if settings.role == ENTRY:
+            return EntryNode(
+                *ports,
+                settings=EntrySettings(
+                    first_token_timeout=settings.first_token_timeout,
+                    maximum_body_bytes=settings.maximum_body_bytes,
+                    readiness_grace=settings.readiness_grace,
+                    stop_timeout=settings.stop_timeout,
+                ),
+                observer=self._observer,
+            )
+        backend = self._call(settings.backend)
+        is_engine = settings.backend_kind == "engine"
+        return SideNode(
+            *ports,
+            engine=HttpEngine(backend, settings.service) if is_engine else None,
+            service=None if is_engine else HttpPlainService(backend),
+            fencing=int(self._clock.now().timestamp() * 1000),
+            observer=self._observer,
+        )
+
+    def _call(self, base_url):
+        return HttpCaller(self._agent, self._reactor, base_url)
+
+    def _open_entry_ports(self):
+        settings = self._settings
+        certificate = None
+        if settings.tls_certificate is not None:
+            certificate = RenewedCertificate(settings.tls_certificate, settings.tls_key)
+        factory = CallerFactory(self._node, settings, self._reactor)
+        port = listen_http(self._reactor, settings.http_listen, factory, certificate)
+        self._ports.append(port)
+        self._open_status(describe_entry, self._node.explanations.find)
+
+    def _open_status(self, describe, explain=None):
+        site = make_status_site(
+            lambda: describe(self._node, self._transport), read_metrics, explain
+        )
+        port = listen_http(self._reactor, self._settings.status_listen, site)
+        self._ports.append(port)
+
+    def _begin_stop(self):
+        if self._stopping:
+            logger.warning("stopped at once by a second signal")
+            self._finish_stop()
+            return
+        self._stopping = True
+        logger.info("stopping")
+        self._node.drain().addBoth(lambda _: self._finish_stop())
+
+    def _finish_stop(self):
+        self._node.stop()
+        for port in self._ports:
+            port.stopListening()
+        closing = self._loop.create_task(self._transport.close())
+        closing.add_done_callback(lambda _: self._reactor.stop())
+
+
+def _choose_credentials(settings):
+    if settings.peer_tls_certificate is None:
+        return PlainCredentials()
+    return MutualTlsCredentials(
+        settings.peer_tls_certificate, settings.peer_tls_key, settings.peer_tls_ca
+    )
--- a/libs/node/src/balsamspoke_node/__init__.py
+++ b/libs/node/src/balsamspoke_node/__init__.py
@@ -5,6 +5,7 @@
 from .events import (
     CatalogueAdvanced,
     Observer,
+    ObserverGroup,
     RequestEnded,
     SilentObserver,
     StopStarted,
@@ -22,6 +23,7 @@
     "Exchange",
     "NodeIdentity",
     "Observer",
+    "ObserverGroup",
     "RequestEnded",
     "Responder",
     "SideNode",
--- a/libs/node/src/balsamspoke_node/authorization.py
+++ b/libs/node/src/balsamspoke_node/authorization.py
@@ -101,7 +101,7 @@
 
 
 def _undo_escapes(body):
-    """Return a body with the \\uXXXX escapes of ASCII characters replaced."""
+    """Return a body with its JSON escapes of ASCII characters replaced."""
     parts = body.split(_JSON_ESCAPE)
     undone = [parts[0]]
     for part in parts[1:]:
--- a/libs/node/src/balsamspoke_node/callers.py
+++ b/libs/node/src/balsamspoke_node/callers.py
@@ -65,8 +65,10 @@
     def cancel(self):
         """Note that the caller is gone."""
 
+    @abstractmethod
     def pause(self):
         """Note that the caller reads more slowly than the answer comes."""
 
+    @abstractmethod
     def resume(self):
         """Note that the caller has caught up."""
--- a/libs/node/src/balsamspoke_node/calls.py
+++ b/libs/node/src/balsamspoke_node/calls.py
@@ -178,6 +178,12 @@
         if self._end(gone) and self._running is not None:
             self._running.cancel()
 
+    def pause(self):
+        """Ignore it: the answer comes whole."""
+
+    def resume(self):
+        """Ignore it: the answer comes whole."""
+
     def _run(self, reservation):
         if self._ended:
             if reservation is not None:
--- a/libs/node/src/balsamspoke_node/entry.py
+++ b/libs/node/src/balsamspoke_node/entry.py
@@ -9,8 +9,8 @@
 from twisted.internet.defer import Deferred
 
 from .context import EntryContext
-from .events import CatalogueAdvanced, SilentObserver, StopStarted
-from .explanations import Explanations, ObserverGroup
+from .events import CatalogueAdvanced, ObserverGroup, SilentObserver, StopStarted
+from .explanations import Explanations
 from .frontdoor import RequestHandler
 from .settings import EntrySettings
 from .watchers import choose_watchers
--- a/libs/node/src/balsamspoke_node/events.py
+++ b/libs/node/src/balsamspoke_node/events.py
@@ -78,3 +78,15 @@
 
     def observe(self, event):
         """Drop the event."""
+
+
+class ObserverGroup(Observer):
+    """Pass events on to several observers."""
+
+    def __init__(self, *observers):
+        self._observers = observers
+
+    def observe(self, event):
+        """Pass the event on."""
+        for observer in self._observers:
+            observer.observe(event)
--- a/libs/node/src/balsamspoke_node/explanations.py
+++ b/libs/node/src/balsamspoke_node/explanations.py
@@ -29,15 +29,3 @@
     def find(self, request_id):
         """Return the RequestEnded of a request, or None."""
         return self._ended.get(request_id)
-
-
-class ObserverGroup(Observer):
-    """Pass events on to several observers."""
-
-    def __init__(self, *observers):
-        self._observers = observers
-
-    def observe(self, event):
-        """Pass the event on."""
-        for observer in self._observers:
-            observer.observe(event)
--- /dev/null
+++ b/libs/node/tests/fleet.py
@@ -0,0 +1,351 @@
+"""A whole fleet of node cores over fake ports, with its failures."""
+
+import random
+from datetime import timedelta
+
+import orjson
+from balsamspoke_catalogue import digest_key, encode_object
+from balsamspoke_fakes import (
+    FakeEngine,
+    FakeNetwork,
+    FakePlainService,
+    FakeStore,
+    FakeTransport,
+    FakeVmList,
+    StoreState,
+    VirtualClock,
+    VirtualTime,
+    VmListState,
+)
+from balsamspoke_node import (
+    CallerRequest,
+    EntryNode,
+    EntrySettings,
+    NodeIdentity,
+    Responder,
+    SideNode,
+    SideSettings,
+)
+from balsamspoke_types.identifiers import ProcessId
+from balsamspoke_types.keys import format_key
+from balsamspoke_types.objects import (
+    Adapter,
+    KeyRecord,
+    Kind,
+    Model,
+    PlainService,
+    ServiceCall,
+    Team,
+)
+from balsamspoke_types.ports import VmRecord, VmState
+
+DOMAINS = ("carneiros", "rio-formoso", "tamandare-centro")
+MODEL = "assistente-porto"
+SERVICE = "balcao-reservas"
+TEAMS = ("hotel", "marina")
+
+
+def make_key(name):
+    """Return the key whose record has a name."""
+    return format_key((name + "0" * 43)[:43])
+
+
+class RecordingResponder(Responder):
+    """Keep the answer to one request."""
+
+    def __init__(self):
+        self.status = None
+        self.headers = {}
+        self.body = b""
+        self.ends = 0
+        self.aborted = False
+        self.is_open = True
+
+    def start(self, status, headers):
+        assert self.status is None, "started twice"
+        self.status = status
+        self.headers = dict(headers)
+
+    def write(self, data):
+        self.body += data
+
+    def end(self):
+        self.ends += 1
+        self.is_open = False
+
+    def abort(self):
+        self.ends += 1
+        self.aborted = True
+        self.is_open = False
+
+    @property
+    def code(self):
+        """Return the machine-readable cause of a refusal, or None."""
+        error = self._find_error()
+        return error["code"] if error else None
+
+    @property
+    def outcome(self):
+        """Return what a refusal says of the run, or None."""
+        error = self._find_error()
+        return error["outcome"] if error else None
+
+    @property
+    def events(self):
+        """Return the server-sent events as JSON objects."""
+        lines = self.body.split(b"\n\n")
+        return [orjson.loads(line[6:]) for line in lines if line.startswith(b"data: {")]
+
+    @property
+    def is_whole(self):
+        """Return whether the caller takes the answer for a whole one."""
+        if self.is_open or self.aborted or self.status != 200:
+            return False
+        if self.headers.get("content-type") == "text/event-stream":
+            return self.body.endswith(b"data: [DONE]\n\n")
+        return True
+
+    @property
+    def text(self):
+        """Return the generated text as far as it came."""
+        if self.headers.get("content-type") == "text/event-stream":
+            choices = [event.get("choices") for event in self.events]
+            return "".join(choice[0]["text"] for choice in choices if choice)
+        return orjson.loads(self.body)["choices"][0]["text"]
+
+    def _find_error(self):
+        if self.headers.get("content-type") == "text/event-stream":
+            found = [event["error"] for event in self.events if "error" in event]
+            return found[0] if found else None
+        if self.status is None or self.status < 400 or not self.body:
+            return None
+        try:
+            return orjson.loads(self.body)["error"]
+        except (orjson.JSONDecodeError, KeyError):
+            return None
+
+
+class Machine:
+    """One VM: what runs on it, and how to make it run again."""
+
+    def __init__(self, record, backend=None):
+        self.record = record
+        self.backend = backend
+        self.clock = None
+        self.node = None
+        self.store = None
+        self.vm_list = None
+        self.boots = 0
+
+    @property
+    def is_running(self):
+        return self.clock is not None and not self.clock.is_killed
+
+
+class Fleet:
+    """Entry and side processes of a small deployment in virtual time."""
+
+    def __init__(
+        self,
+        seed=0,
+        entries=3,
+        engines=3,
+        services=2,
+        adapters=20,
+        entry_settings=None,
+        side_settings=None,
+        rate=1e6,
+        burst=10**7,
+    ):
+        self.random = random.Random(seed)
+        self.time = VirtualTime()
+        self.network = FakeNetwork(self.time, random.Random(seed + 1))
+        self.store = StoreState()
+        self.vms = VmListState(self.time)
+        self.entry_settings = entry_settings or EntrySettings()
+        self.side_settings = side_settings or SideSettings()
+        self.machines = {}
+        self.responders = []
+        self._serial = 0
+        self.fill_catalogue(adapters, rate, burst)
+        for number in range(engines):
+            self.add_machine("side", MODEL, number)
+        for number in range(services):
+            self.add_machine("side", SERVICE, number)
+        for number in range(entries):
+            self.add_machine("entry", "", number)
+        self.publish_vms()
+        for vm in list(self.machines):
+            self.start(vm)
+
+    def fill_catalogue(self, adapters, rate, burst):
+        for name in TEAMS:
+            self.put(Kind.TEAM, name, Team(name, rate, burst))
+            self.put_key(f"{name}-key", name)
+        self.put(Kind.MODEL, MODEL, Model(MODEL, adapter_slots=4, batch_size=8))
+        calls = (
+            ServiceCall("POST", "/bookings", False),
+            ServiceCall("DELETE", "/bookings", False),
+        )
+        self.put(Kind.SERVICE, SERVICE, PlainService(SERVICE, TEAMS, calls))
+        for number in range(adapters):
+            name = f"adapter-{number}"
+            team = TEAMS[number % len(TEAMS)]
+            self.put(Kind.ADAPTER, name, Adapter(name, team, MODEL, 1, (1, 2)))
+
+    def put(self, kind, name, value):
+        return self.store.put(kind, name, encode_object(value))
+
+    def put_key(self, name, team):
+        record = KeyRecord(name, team, digest_key(make_key(name)))
+        return self.put(Kind.KEY, name, record)
+
+    def withdraw_key(self, name):
+        return self.store.put(Kind.KEY, name, b"", deleted=True)
+
+    def add_machine(self, role, service, number):
+        self._serial += 1
+        vm = f"{role}-{service or 'x'}-{number}-{self._serial}"
+        domain = DOMAINS[number % len(DOMAINS)]
+        record = VmRecord(vm, f"10.0.0.{self._serial}:1", "r1", domain, role, service)
+        backend = None
+        if service == MODEL:
+            backend = FakeEngine(VirtualClock(self.time), slots=4)
+        elif service == SERVICE:
+            backend = FakePlainService(VirtualClock(self.time))
+        self.machines[vm] = Machine(record, backend)
+        return vm
+
+    def publish_vms(self):
+        """Let the VM list show the machines that there are."""
+        self.vms.set([machine.record for machine in self.machines.values()])
+
+    def entries(self):
+        return self._find("entry", "")
+
+    def sides(self, service=MODEL):
+        return self._find("side", service)
+
+    def _find(self, role, service):
+        return [
+            vm
+            for vm, machine in self.machines.items()
+            if machine.record.role == role and machine.record.service == service
+        ]
+
+    def start(self, vm):
+        """Start our process on a VM; it knows nothing of an earlier run."""
+        machine = self.machines[vm]
+        machine.boots += 1
+        process = ProcessId(vm, machine.boots)
+        machine.clock = clock = VirtualClock(self.time)
+        source = random.Random(self.random.random())
+        machine.store = FakeStore(self.store, clock, random.Random(source.random()))
+        machine.vm_list = FakeVmList(self.vms, clock)
+        transport = FakeTransport(self.network, process, clock)
+        record = machine.record
+        identity = NodeIdentity(vm, "r1", record.failure_domain, record.service)
+        ports = (process, identity, clock, source)
+        ports += (machine.store, machine.vm_list, transport)
+        if record.role == "entry":
+            machine.node = EntryNode(*ports, settings=self.entry_settings)
+        else:
+            machine.backend.clock = clock
+            is_engine = record.service == MODEL
+            machine.node = SideNode(
+                *ports,
+                engine=machine.backend if is_engine else None,
+                service=None if is_engine else machine.backend,
+                fencing=machine.boots,
+                settings=self.side_settings,
+            )
+        machine.node.start()
+        return machine.node
+
+    def kill(self, vm):
+        self.machines[vm].clock.kill()
+
+    def restart(self, vm):
+        self.kill(vm)
+        return self.start(vm)
+
+    def remove_machine(self, vm):
+        """Let a VM fail for good; the VM list learns of it when published."""
+        self.kill(vm)
+        machine = self.machines.pop(vm)
+        if machine.backend is not None and hasattr(machine.backend, "restart"):
+            machine.backend.up = False
+            machine.backend.restart()
+        return machine
+
+    def mark_leaving(self, vm):
+        """Let the VM list say that a VM is leaving."""
+        machine = self.machines[vm]
+        old = machine.record
+        machine.record = VmRecord(
+            old.vm,
+            old.address,
+            old.region,
+            old.failure_domain,
+            old.role,
+            old.service,
+            VmState.LEAVING,
+        )
+        self.publish_vms()
+
+    def node(self, vm):
+        return self.machines[vm].node
+
+    def advance(self, seconds):
+        self.time.advance(timedelta(seconds=seconds))
+
+    def settle(self, seconds=15):
+        """Let a fresh fleet find itself."""
+        self.advance(seconds)
+
+    def send(self, entry, request):
+        """Send a caller's request to an entry process."""
+        responder = RecordingResponder()
+        self.responders.append(responder)
+        machine = self.machines[entry]
+        if machine.is_running and not machine.clock.is_paused:
+            responder.exchange = machine.node.handle(request, responder)
+        return responder
+
+    def complete(
+        self,
+        entry,
+        adapter="adapter-0",
+        key="hotel-key",
+        tokens=5,
+        stream=True,
+        prompt="tide",
+    ):
+        """Send a request to generate."""
+        body = {"model": adapter, "prompt": prompt, "max_tokens": tokens}
+        body["stream"] = stream
+        headers = ()
+        if key:
+            headers = (("authorization", f"Bearer {make_key(key)}"),)
+        request = CallerRequest("POST", "/v1/completions", headers, orjson.dumps(body))
+        return self.send(entry, request)
+
+    def book(self, entry, body=b"boat", key="hotel-key", idempotency_key=""):
+        """Send a booking, which must not be repeated."""
+        headers = [("authorization", f"Bearer {make_key(key)}")]
+        if idempotency_key:
+            headers.append(("idempotency-key", idempotency_key))
+        request = CallerRequest(
+            "POST", f"/services/{SERVICE}/bookings", tuple(headers), body
+        )
+        return self.send(entry, request)
+
+
+def expect_text(adapter, version, tokens, prompt="tide"):
+    """Return the whole text of the right answer."""
+    from balsamspoke_fakes.backend import get_token
+    from balsamspoke_types.identifiers import AdapterRef
+
+    body = orjson.dumps({"prompt": prompt})
+    ref = AdapterRef(adapter, version)
+    return "".join(get_token(ref, body, number) for number in range(tokens))
--- /dev/null
+++ b/libs/node/tests/test_path.py
@@ -0,0 +1,40 @@
+import unittest
+
+from .fleet import Fleet, expect_text
+
+
+class WholePathTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet()
+        self.fleet.settle()
+        self.entry = self.fleet.entries()[0]
+
+    def test_a_streamed_answer_is_whole(self):
+        answer = self.fleet.complete(self.entry, "adapter-0", tokens=5)
+        self.fleet.advance(5)
+        self.assertTrue(answer.is_whole, answer.body)
+        self.assertEqual(answer.text, expect_text("adapter-0", 1, 5))
+
+    def test_a_version_may_be_named(self):
+        answer = self.fleet.complete(self.entry, "adapter-0:2", stream=False)
+        self.fleet.advance(5)
+        self.assertEqual(answer.text, expect_text("adapter-0", 2, 5))
+
+    def test_a_booking_runs_once(self):
+        answer = self.fleet.book(self.entry)
+        self.fleet.advance(5)
+        self.assertEqual((answer.status, answer.body), (200, b"call 1"))
+
+    def test_every_entry_is_ready(self):
+        for entry in self.fleet.entries():
+            self.assertTrue(self.fleet.node(entry).is_ready)
+
+    def test_refusals_before_anything_runs(self):
+        for expected, answer in [
+            ("key_missing", self.fleet.complete(self.entry, key="")),
+            ("key_rejected", self.fleet.complete(self.entry, key="nobody")),
+            ("unknown_model", self.fleet.complete(self.entry, "adapter-1")),
+            ("unknown_model", self.fleet.complete(self.entry, "adapter-0:3")),
+            ("unknown_model", self.fleet.complete(self.entry, "nothing")),
+        ]:
+            self.assertEqual((answer.code, answer.outcome), (expected, "not-run"))
