--- /dev/null
+++ b/libs/standins/src/balsamspoke_standins/load.py
@@ -0,0 +1,85 @@
+"""A load tool: send completions and bookings to entries, and report what came back.
+
+The plan is a JSON file ``{"teams": [{"name", "key", "adapters": ["a:1", ...],
+"service", "share"}, ...]}``. The exit status is 1 if an answer was wrong, short or
+broken off, or if nothing was answered.
+"""
+
+import argparse
+import random
+import sys
+from pathlib import Path
+
+import orjson
+from balsamspoke_platform import HttpCaller, build_agent
+
+from .load_plan import LoadPlan, LoadSettings, read_teams
+from .load_report import format_report, make_report
+from .load_run import LoadRun
+from .serving import get_reactor
+
+CONNECTIONS = 1024
+
+
+def make_parser():
+    """Return the load tool's ArgumentParser."""
+    defaults = LoadSettings()
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--entry", action="append", required=True, metavar="URL")
+    parser.add_argument("--plan", required=True, type=Path, metavar="FILE")
+    parser.add_argument("--rate", type=float, default=defaults.rate)
+    parser.add_argument("--duration", type=float, default=defaults.duration)
+    parser.add_argument("--zipf", type=float, default=defaults.zipf_exponent)
+    parser.add_argument("--bookings", type=float, default=defaults.booking_part)
+    parser.add_argument("--max-tokens", type=int, default=defaults.max_tokens)
+    parser.add_argument("--timeout", type=float, default=defaults.timeout)
+    parser.add_argument("--seed", type=int, default=0)
+    parser.add_argument("--verify", action="store_true")
+    parser.add_argument("--output", choices=("text", "json"), default="text")
+    return parser
+
+
+def main():
+    """Run the load and print the report."""
+    arguments = make_parser().parse_args()
+    settings = LoadSettings(
+        rate=arguments.rate,
+        duration=arguments.duration,
+        zipf_exponent=arguments.zipf,
+        booking_part=arguments.bookings,
+        max_tokens=arguments.max_tokens,
+        timeout=arguments.timeout,
+        verifies=arguments.verify,
+    )
+    teams = read_teams(arguments.plan.read_bytes())
+    plan = LoadPlan(teams, settings, random.Random(arguments.seed))
+    reactor = get_reactor()
+    agent = build_agent(reactor, CONNECTIONS)
+    callers = [HttpCaller(agent, reactor, url) for url in arguments.entry]
+    run = LoadRun(reactor, callers, plan)
+    run.start().addBoth(lambda _: reactor.stop())
+    reactor.run()
+    report = make_report(run.tallies)
+    print_report(report, arguments.output)
+    sys.exit(0 if is_good(report) else 1)
+
+
+def print_report(report, output):
+    """Print a report as text or JSON."""
+    if output == "json":
+        print(orjson.dumps(report, option=orjson.OPT_INDENT_2).decode())
+    else:
+        print(format_report(report))
+
+
+def is_good(report):
+    """Whether something was answered, and nothing wrong, short or broken off."""
+    total = report["(all)"]
+    failed = total["wrong"] + total["short"] + sum(total["broken"].values())
+    return total["answered"] > 0 and failed == 0
+
+
+if __name__ == "__main__":
+    main()
