Build the replica of an engine and of a plain service

Cause: a side process needs the one object that orders its engine. Built: ledger of attempts, fair queue, slots with pins, early loads, credits, reports within a budget, planned stop and fencing.

Ruled out: taking the engine's report as the state of its slots (it lags); telling a 409 of a load apart by its text (a following unload settles it).

--- /dev/null
+++ b/libs/replica/src/balsamspoke_replica/health.py
@@ -0,0 +1,92 @@
+"""Watch over one engine: whether it answers, and which run of it does."""
+
+from collections import deque
+
+from .events import EngineDown, EngineRestarted
+
+MOST_OLD_BOOTS = 64
+
+
+class EngineWatch:
+    """Ask an engine for its report again and again.
+
+    Parameters
+    ----------
+    clock : Clock
+        Time.
+    engine : Engine
+        The engine.
+    settings : ReplicaSettings
+        Intervals.
+    listener : EngineReplica
+        Its ``engine_seen``, ``engine_restarted`` and ``engine_down`` are called.
+    on_event : callable
+        Called with events.
+
+    Notes
+    -----
+    Reports lag, so that one of an earlier run of the engine may come after one of
+    a later run; it is dropped.
+    """
+
+    def __init__(self, clock, engine, settings, listener, on_event):
+        self._clock = clock
+        self._engine = engine
+        self._settings = settings
+        self._listener = listener
+        self._on_event = on_event
+        self._boot = None
+        self._old_boots = deque(maxlen=MOST_OLD_BOOTS)
+        self._timer = None
+        self._is_asking = False
+        self._stopped = False
+        self.is_up = False
+        self.has_answered = False
+
+    def stop(self):
+        """End the questions."""
+        self._stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def ask(self):
+        """Ask now."""
+        if self._is_asking or self._stopped:
+            return
+        self._is_asking = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._engine.report().addCallbacks(self._take, self._miss)
+
+    def note_down(self, reason):
+        """Note that the engine took no connection."""
+        was_up, self.is_up = self.is_up, False
+        if was_up:
+            self._on_event(EngineDown(reason))
+        self._listener.engine_down()
+
+    def _take(self, report):
+        self._ask_again(self._settings.poll_interval)
+        if self._stopped or report.boot in self._old_boots:
+            return
+        self.is_up = True
+        self.has_answered = True
+        if self._boot is not None and report.boot != self._boot:
+            self._old_boots.append(self._boot)
+            self._boot = report.boot
+            self._on_event(EngineRestarted(report.boot))
+            self._listener.engine_restarted()
+        is_first = self._boot is None
+        self._boot = report.boot
+        self._listener.engine_seen(report, is_first)
+
+    def _miss(self, failure):
+        self._ask_again(self._settings.poll_interval_down)
+        if not self._stopped:
+            self.has_answered = True
+            self.note_down(failure.getErrorMessage())
+
+    def _ask_again(self, wait):
+        self._is_asking = False
+        if not self._stopped:
+            self._timer = self._clock.call_later(wait, self.ask)
--- /dev/null
+++ b/libs/replica/src/balsamspoke_replica/loader.py
@@ -0,0 +1,349 @@
+"""Adapter slots of one engine: loads, evictions, permits and back-off."""
+
+from datetime import timedelta
+
+from balsamspoke_types.exceptions import BackendRefused, BackendUnreachable
+
+from .events import (
+    AdapterEvicted,
+    LoadEnded,
+    LoadFailed,
+    LoadStarted,
+    SlotHeld,
+)
+from .slots import Slot, SlotState
+
+CONFLICT = 409
+MOST_DOUBLINGS = 16
+
+
+class _Failures:
+    def __init__(self):
+        self.count = 0
+        self.until = timedelta(0)
+
+
+class AdapterLoader:
+    """Keep the adapters loaded that queued requests need.
+
+    Parameters
+    ----------
+    clock, random_source : Clock, random.Random
+        Time, and jitter of the back-off.
+    engine : Engine
+        Where adapters are loaded.
+    fencing : int
+        Fencing number of the orders.
+    settings : ReplicaSettings
+        Permits and waits.
+    policy : SlotPolicy
+        Chooses what is unloaded.
+    queue : QueuePolicy
+        Says what is waited for.
+    may_order : callable
+        Asked before each order whether it may still be given.
+    on_change : callable
+        Called when slots changed.
+    on_fenced : callable
+        Called when the engine refused an old fencing number.
+    on_doubt : callable
+        Called when the engine may have restarted.
+    on_event : callable
+        Called with events.
+    """
+
+    def __init__(
+        self,
+        clock,
+        random_source,
+        engine,
+        fencing,
+        settings,
+        policy,
+        queue,
+        may_order,
+        on_change,
+        on_fenced,
+        on_doubt,
+        on_event,
+    ):
+        self._clock = clock
+        self._random = random_source
+        self._engine = engine
+        self._fencing = fencing
+        self._settings = settings
+        self._policy = policy
+        self._queue = queue
+        self._may_order = may_order
+        self._on_change = on_change
+        self._on_fenced = on_fenced
+        self._on_doubt = on_doubt
+        self._on_event = on_event
+        self._slots = {}
+        self._failures = {}
+        self._epoch = 0
+        self._loads = 0
+        self._orphans = False
+        self._capacity = 1
+
+    def set_capacity(self, slots):
+        """Set the number of slots."""
+        self._capacity = max(1, slots)
+
+    def adopt(self, adapters, orphans):
+        """Take over what an engine has loaded already.
+
+        Parameters
+        ----------
+        adapters : iterable of AdapterRef
+            From the engine's report.
+        orphans : bool
+            Whether requests of an earlier process may still run on them.
+        """
+        now = self._clock.monotonic()
+        self._orphans = orphans
+        for adapter in adapters:
+            if adapter not in self._slots:
+                slot = Slot(adapter, SlotState.LOADED, now, is_adopted=True)
+                self._slots[adapter] = slot
+
+    def clear_orphans(self):
+        """Note that no request of an earlier process runs any more."""
+        self._orphans = False
+
+    def forget_all(self):
+        """Count all slots as empty, since the engine restarted."""
+        self._epoch += 1
+        self._loads = 0
+        self._slots.clear()
+        self._orphans = False
+
+    def forget(self, adapter):
+        """Note that the engine doesn't have an adapter that was loaded."""
+        slot = self._slots.get(adapter)
+        if slot is not None and slot.state is SlotState.LOADED:
+            slot.state = SlotState.MISSING
+            self._drop_if_unused(slot)
+
+    def get_loaded(self):
+        """Return the loaded adapters as a sorted tuple."""
+        return tuple(
+            sorted(
+                adapter
+                for adapter, slot in self._slots.items()
+                if slot.state is SlotState.LOADED
+            )
+        )
+
+    def list_runnable(self):
+        """Return what new requests can be started on; None is the base model."""
+        ready = [
+            adapter
+            for adapter, slot in self._slots.items()
+            if slot.state is SlotState.LOADED and not slot.is_held
+        ]
+        return [None, *ready]
+
+    def pin(self, adapter):
+        """Keep an adapter loaded for one request; return a token for ``unpin``."""
+        slot = self._slots.get(adapter)
+        if slot is not None:
+            slot.pins += 1
+            slot.last_used = self._clock.monotonic()
+        return slot
+
+    def unpin(self, slot):
+        """Give back what ``pin`` returned."""
+        if slot is not None:
+            slot.pins -= 1
+            slot.last_used = self._clock.monotonic()
+            self._drop_if_unused(slot)
+
+    def get_refusal_wait(self, adapter):
+        """Return how long an adapter can't be loaded; None if it may be tried."""
+        failures = self._failures.get(adapter)
+        if failures is None or failures.count < self._settings.load_tries:
+            return None
+        wait = failures.until - self._clock.monotonic()
+        return wait if wait > timedelta(0) else None
+
+    def advance(self):
+        """Start the loads that are wanted and possible now."""
+        now = self._clock.monotonic()
+        wanted = self._list_wanted(now)
+        self._release_holds(wanted)
+        blocked = []
+        for adapter, is_overdue in wanted:
+            if self._loads >= self._settings.load_permits:
+                return
+            if adapter in self._slots or len(self._slots) < self._capacity:
+                self._start_load(adapter)
+            else:
+                blocked.append((adapter, is_overdue))
+        if blocked:
+            self._make_room(blocked, now)
+
+    def reconcile(self, adapters):
+        """Count adapters of the engine's report that weren't known as loaded.
+
+        Called when a load failed, since the engine may have no free slot. The
+        report lags, so that an adapter may be counted wrongly; the refusal of the
+        next order about it puts that right.
+        """
+        self.adopt(adapters, self._orphans)
+
+    def _list_wanted(self, now):
+        longest = self._settings.pass_over_time
+        return [
+            (adapter, now - arrival >= longest)
+            for adapter, arrival in self._queue.order_adapters(now)
+            if adapter is not None
+            and self._is_absent(adapter)
+            and not self._is_backing_off(adapter, now)
+        ]
+
+    def _is_absent(self, adapter):
+        slot = self._slots.get(adapter)
+        return slot is None or slot.state is SlotState.MISSING
+
+    def _drop_if_unused(self, slot):
+        """Drop a missing slot, but keep the pins of requests that may still run."""
+        is_missing = slot.state is SlotState.MISSING and not slot.pins
+        if is_missing and self._slots.get(slot.adapter) is slot:
+            del self._slots[slot.adapter]
+
+    def _is_backing_off(self, adapter, now):
+        failures = self._failures.get(adapter)
+        return failures is not None and now < failures.until
+
+    def _release_holds(self, wanted):
+        if not any(is_overdue for _, is_overdue in wanted):
+            for slot in self._slots.values():
+                slot.is_held = False
+
+    def _make_room(self, blocked, now):
+        if any(slot.state is SlotState.UNLOADING for slot in self._slots.values()):
+            return
+        idle = [slot for slot in self._slots.values() if self._is_evictable(slot)]
+        unwanted = [slot for slot in idle if not self._queue.count(slot.adapter)]
+        overdue = next((adapter for adapter, late in blocked if late), None)
+        if overdue is not None and idle:
+            held = [slot for slot in idle if slot.is_held]
+            candidates = held or unwanted or idle
+            self._evict(self._choose_victim(candidates, now), overdue)
+        elif unwanted:
+            self._evict(self._choose_victim(unwanted, now), blocked[0][0])
+        elif overdue is not None:
+            self._hold_one(overdue)
+
+    def _choose_victim(self, slots, now):
+        return self._policy.choose_victim(slots, now, self._queue.count)
+
+    def _is_evictable(self, slot):
+        guarded = self._orphans and slot.is_adopted
+        return slot.state is SlotState.LOADED and not slot.pins and not guarded
+
+    def _hold_one(self, successor):
+        if any(slot.is_held for slot in self._slots.values()):
+            return
+        usable = [
+            slot
+            for slot in self._slots.values()
+            if slot.state is SlotState.LOADED
+            and not (self._orphans and slot.is_adopted)
+        ]
+        if usable:
+            held = min(usable, key=lambda slot: (slot.pins, slot.last_used))
+            held.is_held = True
+            self._on_event(SlotHeld(held.adapter, successor))
+
+    def _start_load(self, adapter):
+        if not self._may_order():
+            return
+        now = self._clock.monotonic()
+        slot = self._slots.setdefault(adapter, Slot(adapter, SlotState.LOADING, now))
+        slot.state = SlotState.LOADING
+        self._loads += 1
+        self._on_event(LoadStarted(adapter))
+        result = self._engine.load_adapter(adapter, self._fencing)
+        epoch = self._epoch
+        result.addCallback(self._end_load, slot, epoch, now)
+        result.addErrback(self._fail_load, slot, epoch)
+
+    def _end_load(self, _, slot, epoch, started):
+        if epoch != self._epoch:
+            return
+        self._loads -= 1
+        slot.state = SlotState.LOADED
+        slot.last_used = self._clock.monotonic()
+        self._failures.pop(slot.adapter, None)
+        duration = self._clock.monotonic() - started
+        self._on_event(LoadEnded(slot.adapter, duration))
+        self._on_change()
+
+    def _fail_load(self, failure, slot, epoch):
+        if epoch != self._epoch:
+            return
+        self._note_failure(slot.adapter, failure)
+        is_refused = failure.check(BackendRefused)
+        if is_refused and not slot.pins and self._may_order():
+            # The load may be half done, and 409 has several reasons: unloading
+            # settles both, since nothing else refuses it with 409.
+            slot.state = SlotState.UNLOADING
+            result = self._engine.unload_adapter(slot.adapter, self._fencing)
+            result.addBoth(self._end_clean_up, slot, epoch)
+            return
+        self._loads -= 1
+        slot.state = SlotState.MISSING
+        self._drop_if_unused(slot)
+        if not is_refused:
+            self._on_doubt(failure)
+        self._on_change()
+
+    def _end_clean_up(self, result, slot, epoch):
+        if epoch != self._epoch:
+            return
+        self._loads -= 1
+        self._slots.pop(slot.adapter, None)
+        if _is_conflict(result):
+            self._on_fenced()
+        else:
+            self._on_doubt(result)
+        self._on_change()
+
+    def _note_failure(self, adapter, failure):
+        settings = self._settings
+        failures = self._failures.setdefault(adapter, _Failures())
+        if not failure.check(BackendUnreachable):
+            failures.count += 1
+        doublings = min(failures.count, MOST_DOUBLINGS) - 1
+        longest = settings.load_backoff * 2 ** max(0, doublings)
+        wait = min(longest, settings.load_backoff_limit)
+        wait *= 0.5 + self._random.random() / 2
+        failures.until = self._clock.monotonic() + wait
+        reason = failure.getErrorMessage()
+        self._on_event(LoadFailed(adapter, failures.count, wait, reason))
+        self._clock.call_later(wait, self._on_change)
+
+    def _evict(self, slot, successor):
+        if not self._may_order():
+            return
+        slot.state = SlotState.UNLOADING
+        self._on_event(AdapterEvicted(slot.adapter, successor))
+        result = self._engine.unload_adapter(slot.adapter, self._fencing)
+        result.addBoth(self._end_unload, slot, self._epoch)
+
+    def _end_unload(self, result, slot, epoch):
+        if epoch != self._epoch:
+            return
+        self._slots.pop(slot.adapter, None)
+        if _is_conflict(result):
+            self._on_fenced()
+        elif result is not None:
+            self._on_doubt(result)
+        self._on_change()
+
+
+def _is_conflict(result):
+    refused = getattr(result, "check", None) and result.check(BackendRefused)
+    return bool(refused) and result.value.status == CONFLICT
--- /dev/null
+++ b/libs/replica/src/balsamspoke_replica/service.py
@@ -0,0 +1,237 @@
+"""The replica of a plain service: each call is handed over at most once."""
+
+from collections import deque
+from dataclasses import dataclass
+from datetime import timedelta
+
+from balsamspoke_types.exceptions import BackendRefused, BackendUnreachable
+from balsamspoke_types.identifiers import ProcessId
+from balsamspoke_types.messages import (
+    AttemptFailed,
+    CallService,
+    ReplicaReport,
+    ServiceAnswered,
+)
+from balsamspoke_types.outcomes import Cause
+
+from .base import Replica
+from .events import EngineDown, RequestStarted
+from .ledger import AttemptState
+from .settings import DEFAULT_SETTINGS
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class _QueuedCall:
+    order: CallService
+    peer: ProcessId
+    arrival: timedelta
+    deadline: timedelta
+    tokens: int = 1
+
+
+class ServiceReplica(Replica):
+    """One plain service, as the process beside it gives it to entry processes.
+
+    Parameters
+    ----------
+    process : ProcessId
+        This process.
+    service_name : str
+        Name of the plain service.
+    clock : Clock
+        Time.
+    random_source : random.Random
+        Not used now; every replica takes one.
+    service : PlainServiceClient
+        The service.
+    send : callable
+        Called with a ProcessId and a message.
+    is_key_valid : callable
+        Called with the name and the checked version of a key's record.
+    settings : ReplicaSettings
+        Bounds.
+    on_event : callable or None
+        Called with the events of ``events``.
+    """
+
+    def __init__(
+        self,
+        process,
+        service_name,
+        clock,
+        random_source,
+        service,
+        send,
+        is_key_valid,
+        settings=DEFAULT_SETTINGS,
+        on_event=None,
+    ):
+        super().__init__(process, clock, send, is_key_valid, settings, on_event)
+        self.service_name = service_name
+        self._service = service
+        self._waiting = deque()
+        self._running = {}
+        self._is_up = False
+        self._poll_timer = None
+
+    def start(self):
+        """Begin to work, and to ask whether the service is ready."""
+        super().start()
+        self._poll()
+
+    def stop(self):
+        """Stop at once; calls under way go on at the service."""
+        super().stop()
+        if self._poll_timer is not None:
+            self._poll_timer.cancel()
+
+    def set_model(self, model):
+        """Do nothing: a plain service has no model."""
+
+    def peer_message(self, peer, message):
+        """Take a message; return whether it was one for a plain service."""
+        if isinstance(message, CallService):
+            if not self._stopped and self._is_first(peer, message.attempt):
+                self._take_call(peer, message)
+            return True
+        return not self._stopped and self._take_common(peer, message)
+
+    def report(self):
+        """Return a new ReplicaReport."""
+        return ReplicaReport(
+            self.service_name,
+            self._next_sequence(),
+            len(self._running),
+            len(self._queued),
+            self._queued_tokens,
+            self._settings.service_concurrency,
+            self._is_accepting(),
+        )
+
+    def describe(self):
+        """Return the state as a mapping of names to numbers and texts."""
+        return {
+            "service": self.service_name,
+            "accepting": self._is_accepting(),
+            "up": self._is_up,
+            "running": len(self._running),
+            "queued": len(self._queued),
+            "remembered_attempts": len(self._ledger),
+        }
+
+    def _take_call(self, peer, call):
+        self._reporter.note_request(peer)
+        cause = self._find_refusal(peer, call)
+        if cause is None and call.service != self.service_name:
+            cause = Cause.NO_REPLICA
+        if cause is None and len(self._queued) >= self._settings.queued_requests:
+            cause = Cause.OVERLOADED
+        if cause is not None:
+            wait = self._estimate_wait(self._settings.service_concurrency)
+            self._refuse(peer, call, cause, wait)
+            return
+        now = self._clock.monotonic()
+        request = _QueuedCall(call, peer, now, now + call.deadline)
+        self._enqueue(request)
+        self._waiting.append(request)
+        self._pump()
+
+    def _pump(self):
+        while self._waiting and len(self._running) < self._settings.service_concurrency:
+            request = self._waiting.popleft()
+            if self._queued.get(request.order.attempt) is request:
+                self._hand_over(request)
+
+    def _hand_over(self, request):
+        order = request.order
+        now = self._clock.monotonic()
+        if now >= request.deadline:
+            self._refuse_queued(request, Cause.DEADLINE)
+            return
+        if not self._has_valid_key(order):
+            self._refuse_queued(request, Cause.KEY_REJECTED)
+            return
+        self._dequeue(request)
+        self._ledger.set(order.attempt, AttemptState.HANDED_OVER)
+        self._running[order.attempt] = request
+        self._on_event(RequestStarted(order.attempt, order.team, now - request.arrival))
+        result = self._service.call(order.call)
+        result.addCallbacks(
+            self._answer, self._fail, (request, now), None, (request,), None
+        )
+
+    def _answer(self, response, request, started):
+        self._note_duration(self._clock.monotonic() - started)
+        attempt = request.order.attempt
+        self._end(request, ServiceAnswered(attempt, response))
+
+    def _fail(self, failure, request):
+        order = request.order
+        if failure.check(BackendUnreachable, BackendRefused):
+            cause = Cause.BACKEND_LOST
+            if failure.check(BackendRefused):
+                cause = Cause.BACKEND_FAILED
+            else:
+                self._set_up(False, failure.getErrorMessage())
+            if self._running.pop(order.attempt, None) is not None:
+                self._refuse_if_open(request, cause)
+            self._after_end()
+            return
+        self._end(request, AttemptFailed(order.attempt, Cause.BACKEND_LOST))
+
+    def _refuse_if_open(self, request, cause):
+        if not self._stopped:
+            self._refuse(request.peer, request.order, cause)
+
+    def _end(self, request, message):
+        if self._running.pop(request.order.attempt, None) is None:
+            return
+        if not self._stopped:
+            self._ledger.set(request.order.attempt, AttemptState.HANDED_OVER)
+            self._outbox.send(request.peer, message)
+        self._after_end()
+
+    def _after_end(self):
+        if not self._stopped:
+            self._pump()
+        self._check_drained()
+
+    def _cancel_running(self, attempt):
+        """Let the call finish: it can't be undone."""
+
+    def _end_drain(self):
+        for request in list(self._running.values()):
+            attempt = request.order.attempt
+            self._end(request, AttemptFailed(attempt, Cause.STOPPING))
+
+    def _count_running(self):
+        return len(self._running)
+
+    def _is_running(self, attempt):
+        return attempt in self._running
+
+    def _is_accepting(self):
+        return (
+            self._started
+            and not self._stopped
+            and self._draining is None
+            and self._is_up
+        )
+
+    def _poll(self):
+        if self._stopped:
+            return
+        result = self._service.check()
+        result.addCallbacks(
+            lambda _: self._set_up(True),
+            lambda failure: self._set_up(False, failure.getErrorMessage()),
+        )
+        self._poll_timer = self._clock.call_later(
+            self._settings.poll_interval, self._poll
+        )
+
+    def _set_up(self, is_up, reason=""):
+        if self._is_up and not is_up:
+            self._on_event(EngineDown(reason))
+        self._is_up = is_up
+        self._note_accepting()
