Keep the catalogue in force from peers and the object API

Cause: entry and side processes need one view that never goes back. Ruled out: a delta's revision taken from its last page (a change behind the pages already sent would be skipped), tombstones made from a peer's silence (a peer with a lost event would spread a deletion that never was).

--- a/libs/catalogue/src/balsamspoke_catalogue/__init__.py
+++ b/libs/catalogue/src/balsamspoke_catalogue/__init__.py
@@ -1,1 +1,21 @@
-"""Catalogue objects, their validation and the in-force view."""
+"""The catalogue: its objects, what is in force, and how that spreads."""
+
+from .codec import decode_members, decode_object, encode_object
+from .exceptions import CatalogueError
+from .keeper import CatalogueKeeper
+from .settings import CatalogueSettings
+from .validation import digest_key, validate_catalogue
+from .view import CatalogueView, FoundKey
+
+__all__ = [
+    "CatalogueError",
+    "CatalogueKeeper",
+    "CatalogueSettings",
+    "CatalogueView",
+    "FoundKey",
+    "decode_members",
+    "decode_object",
+    "digest_key",
+    "encode_object",
+    "validate_catalogue",
+]
--- /dev/null
+++ b/libs/catalogue/tests/fleet.py
@@ -0,0 +1,163 @@
+import random
+from datetime import timedelta
+
+from balsamspoke_catalogue import CatalogueKeeper, CatalogueSettings, encode_object
+from balsamspoke_fakes import (
+    FakeNetwork,
+    FakeStore,
+    FakeTransport,
+    StoreState,
+    VirtualClock,
+    VirtualTime,
+)
+from balsamspoke_types.identifiers import ProcessId
+from balsamspoke_types.objects import CATALOGUE_KINDS, Adapter, KeyRecord, Kind, Team
+from balsamspoke_types.ports import PeerHandler, StoredObject, VmRecord
+
+HEARTBEAT = timedelta(seconds=1)
+
+
+def make_adapter(name="a", team="t", version=1):
+    return Adapter(name, team, "m", version, (version,))
+
+
+def store_object(obj, kind, version):
+    return StoredObject(kind, obj.name, version, encode_object(obj))
+
+
+class Process(PeerHandler):
+    """A keeper with its ports, and heartbeats that only carry the revision."""
+
+    def __init__(self, fleet, vm, boot, kinds, watching):
+        self.fleet = fleet
+        self.id = ProcessId(vm, boot)
+        self.clock = VirtualClock(fleet.time)
+        seed = fleet.random.random()
+        self.store = FakeStore(fleet.state, self.clock, random.Random(seed))
+        self.transport = FakeTransport(fleet.network, self.id, self.clock)
+        self.transport.bind(self)
+        self.peers = set()
+        self.versions = {}
+        self.reverted = []
+        self.keeper = CatalogueKeeper(
+            self.id,
+            self.clock,
+            random.Random(seed + 1),
+            self.store,
+            self.transport.send,
+            fleet.settings,
+            kinds,
+            self.note_change,
+        )
+        self.keeper.set_watching(watching)
+        self.keeper.start()
+        self.clock.call_later(HEARTBEAT, self.tell_revision)
+
+    def peer_connected(self, peer):
+        self.peers.add(peer)
+        self.keeper.peer_connected(peer)
+        self.set_peers()
+
+    def peer_disconnected(self, peer):
+        self.peers.discard(peer)
+        self.keeper.peer_disconnected(peer)
+        self.set_peers()
+
+    def set_peers(self):
+        entries = [peer for peer in self.peers if not peer.vm.startswith("side")]
+        self.keeper.set_peers(tuple(sorted(entries)))
+
+    def peer_message(self, peer, message):
+        if isinstance(message, int):
+            self.keeper.note_revision(peer, message)
+        else:
+            self.keeper.peer_message(peer, message)
+
+    def tell_revision(self):
+        for peer in sorted(self.peers):
+            self.transport.send(peer, self.keeper.view.revision)
+        self.clock.call_later(HEARTBEAT, self.tell_revision)
+
+    def note_change(self, kind, name):
+        version = self.keeper.view.version_of(kind, name)
+        self.fleet.checker.note(self.id, kind, name, version)
+
+    def see(self):
+        view = self.keeper.view
+        return {
+            (kind, name): view.version_of(kind, name)
+            for kind in view.kinds
+            for name in view.names(kind)
+        }
+
+
+class ReversionChecker:
+    """Collect every change in force that goes back to an earlier version."""
+
+    def __init__(self):
+        self.versions = {}
+        self.violations = []
+
+    def note(self, process, kind, name, version):
+        before = self.versions.get((process, kind, name), 0)
+        if (version or 0) < before:
+            self.violations.append((process, kind, name, before, version))
+        self.versions[process, kind, name] = version or 0
+
+
+class Fleet:
+    def __init__(self, seed=0, settings=None):
+        self.time = VirtualTime()
+        self.random = random.Random(seed)
+        self.network = FakeNetwork(self.time, random.Random(seed))
+        self.state = StoreState()
+        self.settings = settings or CatalogueSettings()
+        self.checker = ReversionChecker()
+        self.processes = {}
+        self.boots = 0
+
+    def start(self, vm, watching=False, kinds=CATALOGUE_KINDS):
+        self.boots += 1
+        process = Process(self, vm, self.boots, kinds, watching)
+        self.processes[vm] = process
+        for other in self.processes.values():
+            record = VmRecord(vm, "", "", "", "entry")
+            other.transport.connect(record)
+            process.transport.connect(VmRecord(other.id.vm, "", "", "", "entry"))
+        return process
+
+    def kill(self, vm):
+        process = self.processes.pop(vm)
+        process.clock.kill()
+        process.keeper.stop()
+        process.store.reachable = False
+        for watch in list(self.state.watches):
+            if watch._store is process.store:
+                watch.stop()
+        del self.network.processes[vm]
+
+    def advance(self, seconds):
+        self.time.advance(timedelta(seconds=seconds))
+
+    def put(self, obj, kind):
+        return self.state.put(kind, obj.name, encode_object(obj))
+
+    def fill(self, adapters=5):
+        self.put(Team("t", 10.0, 100), Kind.TEAM)
+        self.put(KeyRecord("k", "t", "0" * 64), Kind.KEY)
+        for index in range(adapters):
+            self.put(make_adapter(f"a{index:05}"), Kind.ADAPTER)
+
+    def expect(self, kinds=CATALOGUE_KINDS):
+        return {
+            key: found.version
+            for key, found in self.state.objects.items()
+            if key[0] in kinds
+        }
+
+    def find_stale(self):
+        return [
+            vm
+            for vm, process in self.processes.items()
+            if process.see() != self.expect(process.keeper.view.kinds)
+        ]
