--- /dev/null
+++ b/libs/standins/src/balsamspoke_standins/demo.py
@@ -0,0 +1,93 @@
+"""Run a small deployment on loopback, send it traffic, and show how it fared."""
+
+import argparse
+import sys
+import tempfile
+from datetime import timedelta
+from pathlib import Path
+
+import orjson
+
+from .deployment import (
+    Deployment,
+    DeploymentPlan,
+    Program,
+    ProgramFailed,
+    make_catalogue,
+    make_load_teams,
+)
+
+LOAD_MARGIN = timedelta(seconds=60)
+MINIMUM_ANSWERED = 0.9
+
+
+def make_parser():
+    """Return the argument parser of the demo."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seconds", type=float, default=15.0, help="of traffic")
+    parser.add_argument("--rate", type=float, default=20.0, help="requests a second")
+    parser.add_argument("--adapters", type=int, default=300)
+    parser.add_argument("--engines", type=int, default=5)
+    parser.add_argument("--services", type=int, default=3)
+    parser.add_argument("--entries", type=int, default=3)
+    parser.add_argument("--bookings", type=float, default=0.15, help="part of requests")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--keep-logs", metavar="DIRECTORY", help="keep the logs there")
+    return parser
+
+
+def main():
+    """Run the demo; return the exit status."""
+    options = make_parser().parse_args()
+    if options.keep_logs:
+        Path(options.keep_logs).mkdir(parents=True, exist_ok=True)
+        return _run(options, options.keep_logs)
+    with tempfile.TemporaryDirectory(prefix="balsamspoke-demo-") as directory:
+        return _run(options, directory)
+
+
+def _run(options, directory):
+    plan = DeploymentPlan(
+        entries=options.entries, engines=options.engines, services=options.services
+    )
+    catalogue = make_catalogue(options.adapters, plan.slots, plan.batch)
+    deployment = Deployment(plan, directory)
+    troubles = []
+    print(f"starting {plan.entries} entry processes, {plan.engines} engines and")
+    print(f"{plan.services} booking services with their side processes", flush=True)
+    try:
+        deployment.start(catalogue.objects)
+        print(f"sending {options.rate} requests a second for {options.seconds} s")
+        report = _send_load(options, deployment, catalogue, directory)
+        print(report.decode(), flush=True)
+    except ProgramFailed as error:
+        troubles.append(str(error))
+    print("stopping everything as planned", flush=True)
+    troubles += deployment.stop()
+    for trouble in troubles:
+        print(f"trouble: {trouble}", file=sys.stderr)
+    print("failed" if troubles else "done")
+    return 1 if troubles else 0
+
+
+def _send_load(options, deployment, catalogue, directory):
+    plan = Path(directory) / "load-plan.json"
+    plan.write_bytes(orjson.dumps({"teams": make_load_teams(catalogue)}))
+    arguments = [
+        *(f"--entry={url}" for url in deployment.entry_urls),
+        f"--plan={plan}",
+        f"--rate={options.rate}",
+        f"--duration={options.seconds}",
+        f"--bookings={options.bookings}",
+        f"--seed={options.seed}",
+        "--verify",
+    ]
+    load = Program.start("load", "balsamspoke_standins.load", arguments, directory)
+    status = load.wait(timedelta(seconds=options.seconds) + LOAD_MARGIN)
+    if status != 0:
+        raise ProgramFailed(f"the load tool ended with {status}:\n{load.read_log()}")
+    return load.log.read_bytes()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/libs/standins/src/balsamspoke_standins/deployment/__init__.py
@@ -0,0 +1,16 @@
+"""A small deployment as separate processes on loopback, for demo and benchmarks."""
+
+from .addresses import Addresses
+from .catalogue import make_catalogue, make_load_teams
+from .fleet import Deployment, DeploymentPlan
+from .programs import Program, ProgramFailed
+
+__all__ = [
+    "Addresses",
+    "Deployment",
+    "DeploymentPlan",
+    "Program",
+    "ProgramFailed",
+    "make_catalogue",
+    "make_load_teams",
+]
