Tell live, suspect and leaving processes from heartbeats and the VM list

Cause: no process may hear from all others, and the VM list lags. Ruled out: verdicts from a lost connection alone, and from hearsay without an age (it would keep a dead process live by going round).

--- /dev/null
+++ b/libs/membership/tests/test_membership.py
@@ -0,0 +1,107 @@
+import unittest
+from datetime import timedelta
+
+from balsamspoke_membership import MemberState
+from balsamspoke_types.identifiers import ProcessId
+from balsamspoke_types.messages import Heartbeat, HeartbeatAnswer, ProcessStatus
+from balsamspoke_types.ports import VmState
+
+from .fleet import Fleet
+
+LIVE, SUSPECT, LEAVING = MemberState
+
+
+class MembershipTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet("abcd")
+        self.fleet.advance(5)
+        self.a = self.fleet.processes["a"]
+
+    def test_all_are_live(self):
+        self.assertEqual(self.a.states(), {"b": LIVE, "c": LIVE, "d": LIVE})
+
+    def test_leaving_is_seen_at_once(self):
+        self.fleet.processes["b"].membership.announce_leaving()
+        self.fleet.advance(0.01)
+        self.assertEqual(self.a.states()["b"], LEAVING)
+
+    def test_leaving_told_by_the_list_alone_is_seen(self):
+        self.fleet.list("b", VmState.LEAVING)
+        self.fleet.advance(2.1)
+        self.assertEqual(self.a.states()["b"], LEAVING)
+
+    def test_leaving_reaches_a_process_cut_from_the_one_that_leaves(self):
+        self.fleet.network.cut_between("a", "b")
+        self.fleet.processes["b"].membership.announce_leaving()
+        self.fleet.advance(1.1)
+        self.assertEqual(self.a.states()["b"], LEAVING)
+
+    def test_older_news_does_not_undo_leaving(self):
+        b = self.fleet.processes["b"].id
+        self.fleet.processes["b"].membership.announce_leaving()
+        self.fleet.advance(0.01)
+        old = ProcessStatus(b, False, 0)
+        c = ProcessStatus(self.fleet.processes["c"].id, False, 0)
+        self.a.membership.peer_message(b, HeartbeatAnswer(1, old))
+        self.a.membership.peer_message(c.process, Heartbeat(1, c, (old,)))
+        self.assertEqual(self.a.states()["b"], LEAVING)
+
+    def test_new_boot_replaces_the_old_at_once(self):
+        old = self.fleet.processes["b"]
+        old.membership.announce_leaving()
+        self.fleet.kill("b")
+        new = self.fleet.start("b")
+        self.fleet.advance(0.5)
+        self.a.membership.peer_message(
+            old.id, Heartbeat(9, ProcessStatus(old.id, True, 0))
+        )
+        found = {m.process.vm: m for m in self.a.membership.members()}["b"]
+        self.assertEqual((found.process, found.state), (new.id, LIVE))
+
+    def test_killed_process_is_suspect_and_gone_with_its_vm(self):
+        self.fleet.kill("b")
+        self.fleet.advance(5)
+        self.assertEqual(self.a.states()["b"], SUSPECT)
+        self.fleet.unlist("b")
+        self.fleet.advance(33)
+        self.assertNotIn("b", self.a.states())
+
+    def test_vm_missing_from_the_list_is_suspect_only_after_the_margin(self):
+        self.fleet.unlist("b")
+        self.fleet.advance(29)
+        self.assertEqual(self.a.states()["b"], LIVE)
+        self.fleet.advance(5)
+        self.assertEqual(self.a.states()["b"], SUSPECT)
+        self.fleet.list("b")
+        self.fleet.advance(3)
+        self.assertEqual(self.a.states()["b"], LIVE)
+
+    def test_nobody_is_suspect_after_an_own_pause(self):
+        self.a.clock.pause()
+        self.fleet.advance(60)
+        changes = self.a.changes
+        self.a.clock.resume()
+        self.fleet.advance(5)
+        self.assertEqual(set(self.a.states().values()), {LIVE})
+        self.assertEqual(self.a.changes, changes)
+
+    def test_list_outage_changes_nothing(self):
+        self.fleet.vms.available = False
+        self.fleet.advance(120)
+        self.assertEqual(set(self.a.states().values()), {LIVE})
+
+    def test_members_by_role_carry_the_revision(self):
+        self.fleet.processes["b"].revision = 7
+        self.fleet.advance(2)
+        revisions = [m.catalogue_revision for m in self.a.membership.members("entry")]
+        self.assertEqual(revisions, [7, 0, 0])
+        self.assertEqual(self.a.membership.members("side"), ())
+
+    def test_list_age_is_counted_from_the_question(self):
+        self.assertIn(timedelta(0), self.a.vms_asked_at)
+
+    def test_heard_of_process_without_vm_is_no_member(self):
+        unknown = ProcessStatus(ProcessId("x", 1), False, 0)
+        c = ProcessStatus(self.fleet.processes["c"].id, False, 0)
+        self.a.membership.peer_message(c.process, Heartbeat(1, c, (unknown,)))
+        self.assertNotIn("x", self.a.states())
