Run requests on replicas with truthful outcomes

Cause: an entry process had no replica choice, attempts or idempotency records. AttemptRunner gives each request one end: generations are continued from the offset delivered, calls are repeated only if idempotent or proven not run, and calls with an idempotency key are recorded before they are handed over. Ruled out: reading back a record whose write lost its reply, as reads may be stale; the same write is tried again and recognised by its operation id.

--- a/libs/routing/src/balsamspoke_routing/__init__.py
+++ b/libs/routing/src/balsamspoke_routing/__init__.py
@@ -1,1 +1,33 @@
-"""Replica choice, retries and the outcome of each attempt."""
+"""Replica choice, attempts and their outcomes, retries, at most once."""
+
+from .directory import ReplicaDescription, ReplicaDirectory
+from .ledger import IdempotencyLedger
+from .policies import (
+    AdapterAffinity,
+    LeastLoaded,
+    PlainRendezvous,
+    RoundRobin,
+    RoutingPolicy,
+)
+from .requests import AnswerSink, CallRequest, GenerationRequest, RunningRequest
+from .runner import AttemptRunner
+from .settings import AttemptSettings, DirectorySettings, LedgerSettings
+
+__all__ = [
+    "AdapterAffinity",
+    "AnswerSink",
+    "AttemptRunner",
+    "AttemptSettings",
+    "CallRequest",
+    "DirectorySettings",
+    "GenerationRequest",
+    "IdempotencyLedger",
+    "LeastLoaded",
+    "LedgerSettings",
+    "PlainRendezvous",
+    "ReplicaDescription",
+    "ReplicaDirectory",
+    "RoundRobin",
+    "RoutingPolicy",
+    "RunningRequest",
+]
--- /dev/null
+++ b/libs/routing/src/balsamspoke_routing/policies.py
@@ -0,0 +1,162 @@
+"""Ways to choose a replica: adapter affinity, and the baselines it is measured by."""
+
+from abc import ABC, abstractmethod
+
+_SAMPLE_TRIES = 8
+
+
+class RoutingPolicy(ABC):
+    """A way to choose one of the usable replicas of a pool."""
+
+    @abstractmethod
+    def choose(self, pool, adapter, excluded, now):
+        """Choose a replica.
+
+        Parameters
+        ----------
+        pool : ReplicaPool
+            The service's replicas.
+        adapter : AdapterRef or None
+            What the request runs on.
+        excluded : frozenset of ProcessId
+            Replicas that must not be chosen.
+        now : timedelta
+            Monotonic time.
+
+        Returns
+        -------
+        Replica or None
+            None if no usable replica is left.
+        """
+
+
+class RoundRobin(RoutingPolicy):
+    """Each usable replica in turn."""
+
+    def __init__(self):
+        self._turn = 0
+
+    def choose(self, pool, adapter, excluded, now):
+        """Choose the next replica."""
+        usable = pool.get_usable()
+        for _ in usable:
+            self._turn += 1
+            replica = usable[self._turn % len(usable)]
+            if replica.peer not in excluded:
+                return replica
+        return None
+
+
+class LeastLoaded(RoutingPolicy):
+    """The lesser loaded of two replicas drawn at random.
+
+    Parameters
+    ----------
+    random_source : random.Random
+        Draws the two.
+    """
+
+    def __init__(self, random_source):
+        self._random = random_source
+
+    def choose(self, pool, adapter, excluded, now):
+        """Choose the lesser loaded of two."""
+        usable = pool.get_usable()
+        first = self._draw(usable, excluded)
+        if first is None:
+            return None
+        second = self._draw(usable, excluded | {first.peer})
+        if second is None:
+            return first
+        return min(first, second, key=lambda replica: pool.get_load(replica, now))
+
+    def _draw(self, usable, excluded):
+        if not usable:
+            return None
+        for _ in range(_SAMPLE_TRIES):
+            replica = self._random.choice(usable)
+            if replica.peer not in excluded:
+                return replica
+        left = [replica for replica in usable if replica.peer not in excluded]
+        return self._random.choice(left) if left else None
+
+
+class PlainRendezvous(RoutingPolicy):
+    """The first usable replica in the adapter's ranking, however busy."""
+
+    def __init__(self, random_source):
+        self._without_affinity = LeastLoaded(random_source)
+
+    def choose(self, pool, adapter, excluded, now):
+        """Choose the first of the ranking."""
+        if adapter is not None:
+            for replica in pool.get_ranking(adapter):
+                if replica.usable and replica.peer not in excluded:
+                    return replica
+        return self._without_affinity.choose(pool, adapter, excluded, now)
+
+
+class AdapterAffinity(RoutingPolicy):
+    """The lesser loaded of the first replicas of the adapter's ranking.
+
+    How many are considered grows with the adapter's recent load; requests leave
+    them only if all are much busier than others.
+
+    Parameters
+    ----------
+    random_source : random.Random
+        Draws the two that are compared.
+    settings : DirectorySettings
+        Bounds.
+    popularity : AdapterPopularity
+        Recent load of the adapters.
+    """
+
+    def __init__(self, random_source, settings, popularity):
+        self._random = random_source
+        self._settings = settings
+        self._popularity = popularity
+        self._least_loaded = LeastLoaded(random_source)
+
+    def choose(self, pool, adapter, excluded, now):
+        """Choose among the adapter's replicas, or spill over."""
+        if adapter is None:
+            return self._least_loaded.choose(pool, adapter, excluded, now)
+        width = self._get_width(adapter, now)
+        ranked = [
+            replica
+            for replica in pool.get_ranking(adapter)
+            if replica.usable and replica.peer not in excluded
+        ]
+        preferred = ranked[:width]
+        if not preferred:
+            return self._least_loaded.choose(pool, adapter, excluded, now)
+        if len(preferred) > 2:
+            preferred = self._random.sample(preferred, 2)
+        best = min(preferred, key=lambda found: self._cost(pool, found, adapter, now))
+        if pool.get_load(best, now) < self._settings.spill_load:
+            return best
+        return self._spill(pool, best, ranked[width:], adapter, excluded, now)
+
+    def _get_width(self, adapter, now):
+        recent = self._popularity.note_request(adapter, now)
+        width = 1 + int(recent / self._settings.requests_per_width)
+        return min(width, self._settings.maximum_width)
+
+    def _cost(self, pool, replica, adapter, now):
+        load = pool.get_load(replica, now)
+        resident = adapter in replica.resident
+        return load - self._settings.resident_bonus if resident else load
+
+    def _spill(self, pool, best, further, adapter, excluded, now):
+        # The next of the ranking come first, so that those that spill over meet
+        # their adapter again.
+        candidates = list(further[:2])
+        anywhere = self._least_loaded.choose(pool, adapter, excluded, now)
+        if anywhere is not None:
+            candidates.append(anywhere)
+        limit = pool.get_load(best, now) - self._settings.spill_margin
+        for candidate in candidates:
+            if pool.get_load(candidate, now) <= limit:
+                return candidate
+        return best
--- /dev/null
+++ b/libs/routing/tests/world.py
@@ -0,0 +1,314 @@
+"""A few entry processes and fake side processes under one virtual clock."""
+
+import random
+from datetime import timedelta
+
+from balsamspoke_fakes import (
+    FakeNetwork,
+    FakeStore,
+    FakeTransport,
+    StoreState,
+    VirtualClock,
+    VirtualTime,
+)
+from balsamspoke_fakes.backend import get_token
+from balsamspoke_routing import (
+    AttemptRunner,
+    CallRequest,
+    GenerationRequest,
+    IdempotencyLedger,
+    ReplicaDirectory,
+)
+from balsamspoke_types.identifiers import AdapterRef, ProcessId
+from balsamspoke_types.messages import (
+    AttemptFailed,
+    AttemptFenced,
+    AttemptRefused,
+    CallService,
+    CancelAttempt,
+    CreditTokens,
+    FenceAttempt,
+    GenerationFinished,
+    ServiceAnswered,
+    TokenChunk,
+    TokensProduced,
+)
+from balsamspoke_types.outcomes import Cause
+from balsamspoke_types.ports import (
+    PeerHandler,
+    ServiceRequest,
+    ServiceResponse,
+    VmRecord,
+)
+
+from tests.checkers import HandOver, Trace
+
+ADAPTER = AdapterRef("a", 1)
+MODEL = "kotoba"
+SERVICE = "tsuki"
+TICK = timedelta(milliseconds=20)
+
+
+class FakeSide(PeerHandler):
+    """A side process and its backend server, which records what it was handed."""
+
+    def __init__(self, world, vm, service):
+        self.world = world
+        self.vm = vm
+        self.service = service
+        self.busy = False
+        self.loses_answers = False
+        self.restart()
+
+    def restart(self):
+        if hasattr(self, "clock"):
+            self.clock.kill()
+        self.process = ProcessId(self.vm, self.world.draw_boot())
+        self.clock = VirtualClock(self.world.time)
+        self.transport = FakeTransport(self.world.network, self.process, self.clock)
+        self.transport.bind(self)
+        self.queued, self.running, self.handed, self.fenced = {}, {}, set(), set()
+
+    def peer_connected(self, peer):
+        pass
+
+    def peer_disconnected(self, peer):
+        pass
+
+    def peer_message(self, peer, message):
+        handler = getattr(self, f"take_{type(message).__name__}", None)
+        if handler is not None:
+            handler(peer, message)
+
+    def take_RunGeneration(self, peer, message):
+        self._take_order(peer, message)
+
+    def take_CallService(self, peer, message):
+        self._take_order(peer, message)
+
+    def _take_order(self, peer, message):
+        attempt = message.attempt
+        if attempt in self.handed or attempt in self.queued:
+            return
+        if self.busy or attempt in self.fenced:
+            self.fenced.add(attempt)
+            self._send(peer, AttemptRefused(attempt, Cause.OVERLOADED))
+            return
+        self.queued[attempt] = peer
+        wait = TICK * self.world.random.random() * 3
+        self.clock.call_later(wait, self._hand_over, peer, message)
+
+    def _hand_over(self, peer, message):
+        attempt = message.attempt
+        if self.queued.pop(attempt, None) is None:
+            return
+        self.handed.add(attempt)
+        if isinstance(message, CallService):
+            self._call(peer, message)
+            return
+        self.world.hand_overs.append(HandOver(message.request, attempt))
+        self.running[attempt] = [peer, message, message.resume_offset, message.credit]
+        self._produce(attempt)
+
+    def _call(self, peer, message):
+        key = dict(message.call.headers).get("idempotency-key", "")
+        answer = b"%d" % len(self.world.hand_overs)
+        self.world.hand_overs.append(
+            HandOver(message.request, message.attempt, key, message.idempotent, answer)
+        )
+        reply = ServiceAnswered(message.attempt, ServiceResponse(200, (), answer))
+        if not self.loses_answers:
+            self.clock.call_later(TICK * 2, self._send, peer, reply)
+        else:
+            reply = AttemptFailed(message.attempt, Cause.BACKEND_LOST)
+            self.clock.call_later(TICK * 2, self._send, peer, reply)
+
+    def _produce(self, attempt):
+        if attempt not in self.running:
+            return
+        peer, message, offset, credit = self.running[attempt]
+        if offset >= message.max_tokens:
+            del self.running[attempt]
+            self._send(peer, GenerationFinished(attempt, offset, "length"))
+            return
+        count = min(self.world.random.randint(1, 3), message.max_tokens - offset)
+        if credit >= count:
+            text = "".join(
+                get_token(message.adapter, message.body, number)
+                for number in range(offset, offset + count)
+            )
+            chunk = TokenChunk(attempt, offset, text, count)
+            self._send(peer, TokensProduced((chunk,)))
+            self.running[attempt][2:] = [offset + count, credit - count]
+        self.clock.call_later(TICK, self._produce, attempt)
+
+    def fail_running(self):
+        for attempt, (peer, *_) in list(self.running.items()):
+            del self.running[attempt]
+            self._send(peer, AttemptFailed(attempt, Cause.BACKEND_LOST))
+
+    def take_CreditTokens(self, peer, message: CreditTokens):
+        if message.attempt in self.running:
+            self.running[message.attempt][3] += message.count
+
+    def take_CancelAttempt(self, peer, message: CancelAttempt):
+        self.running.pop(message.attempt, None)
+        if self.queued.pop(message.attempt, None):
+            self.fenced.add(message.attempt)
+
+    def take_FenceAttempt(self, peer, message: FenceAttempt):
+        attempt = message.attempt
+        handed_over = attempt in self.handed
+        if not handed_over:
+            self.fenced.add(attempt)
+            owner = self.queued.pop(attempt, None)
+            if owner is not None:
+                self._send(owner, AttemptRefused(attempt, Cause.OVERLOADED))
+        self._send(peer, AttemptFenced(attempt, handed_over))
+
+    def _send(self, peer, message):
+        self.transport.send(peer, message)
+
+
+class Entry(PeerHandler):
+    """An entry process: a runner over a directory and a ledger."""
+
+    def __init__(self, world, vm):
+        self.world = world
+        self.vm = vm
+        self.restart()
+
+    def restart(self):
+        world = self.world
+        if hasattr(self, "clock"):
+            self.clock.kill()
+            for trace in world.traces:
+                trace.may_never_end |= trace.on_entry is self.process
+        self.process = ProcessId(self.vm, world.draw_boot())
+        self.clock = VirtualClock(world.time)
+        self.transport = FakeTransport(world.network, self.process, self.clock)
+        self.transport.bind(self)
+        source = random.Random(self.process.boot)
+        self.store = FakeStore(world.store_state, self.clock, source)
+        self.directory = ReplicaDirectory(self.clock, source)
+        self.ledger = IdempotencyLedger(self.process, self.clock, self.store, source)
+        self.runner = AttemptRunner(
+            self.process,
+            self.clock,
+            source,
+            self.transport.send,
+            self.directory,
+            self.ledger,
+            lambda record, version: world.key_valid,
+        )
+        for side in world.sides:
+            record = VmRecord(side.vm, "", "", "", "side")
+            self.transport.connect(record)
+
+    def peer_connected(self, peer):
+        side = self.world.find_side(peer)
+        if side is not None:
+            self.directory.note_member(peer, side.service, "abashiri", True, False)
+        self.runner.peer_connected(peer)
+
+    def peer_disconnected(self, peer):
+        self.runner.peer_disconnected(peer)
+        side = self.world.find_side(peer)
+        if side is None or side.process != peer:
+            self.directory.forget(peer)
+
+    def peer_message(self, peer, message):
+        self.runner.peer_message(peer, message)
+
+
+class World:
+    """Entries, sides, and the history of what callers and backend servers saw."""
+
+    def __init__(self, seed=0, models=3, services=2, entries=2):
+        self.random = random.Random(seed)
+        self.time = VirtualTime()
+        self.network = FakeNetwork(self.time, self.random)
+        self.store_state = StoreState()
+        self.key_valid = True
+        self.hand_overs = []
+        self.traces = []
+        self.runs = []
+        self.sides = []
+        self._boots = 0
+        for number in range(models):
+            self.sides.append(FakeSide(self, f"model-{number}", MODEL))
+        for number in range(services):
+            self.sides.append(FakeSide(self, f"service-{number}", SERVICE))
+        self.entries = [Entry(self, f"entry-{number}") for number in range(entries)]
+        self.advance(1)
+
+    def draw_boot(self):
+        self._boots += 1
+        return self._boots
+
+    def find_side(self, peer):
+        return next((side for side in self.sides if side.vm == peer.vm), None)
+
+    def advance(self, seconds):
+        self.time.advance(timedelta(seconds=seconds))
+
+    def generate(self, entry=0, tokens=20, deadline=5.0, credits=True):
+        name = f"g{len(self.traces)}"
+        body = b"x" * (1 + len(self.traces))
+        text = "".join(get_token(ADAPTER, body, number) for number in range(tokens))
+        trace = Trace(name, expected_text=text, expected_tokens=tokens)
+        request = GenerationRequest(
+            name,
+            "team",
+            MODEL,
+            ADAPTER,
+            body,
+            tokens,
+            deadline=timedelta(seconds=deadline),
+            key_record="key",
+        )
+        return self._run("run_generation", entry, request, trace, credits)
+
+    def call(self, entry=0, key="", idempotent=False, deadline=3.0, body=b"book"):
+        name = f"c{len(self.traces)}"
+        headers = (("idempotency-key", key),) if key else ()
+        trace = Trace(name, key=key, idempotent=idempotent)
+        request = CallRequest(
+            name,
+            "team",
+            SERVICE,
+            ServiceRequest("POST", "/bookings", headers, body),
+            idempotent,
+            key,
+            timedelta(seconds=deadline),
+            key_record="key",
+        )
+        return self._run("run_call", entry, request, trace, False)
+
+    def _run(self, method, entry, request, trace, credits):
+        node = self.entries[entry % len(self.entries)]
+        trace.on_entry = node.process
+        self.traces.append(trace)
+        run = []
+        if credits:
+            trace.on_tokens = lambda count: [found.credit(count) for found in run]
+        # An entry process that is paused takes the request when it goes on.
+        node.clock.run_when_awake(
+            lambda: run.append(getattr(node.runner, method)(request, trace))
+        )
+        self.runs.append(run)
+        return trace
+
+    def heal(self):
+        """End every failure."""
+        self.network.heal()
+        self.network.loss_rate = self.network.double_rate = 0.0
+        self.network.jitter = timedelta(0)
+        self.store_state.available = True
+        for process in self.sides + self.entries:
+            process.clock.resume()
+        for side in self.sides:
+            side.busy = side.loses_answers = False
+        for entry in self.entries:
+            entry.store.lost_reply_rate = 0.0
+            entry.store.stale_reads = 0
