--- /dev/null
+++ b/libs/catalogue/tests/test_schedules.py
@@ -0,0 +1,167 @@
+import unittest
+from datetime import timedelta
+
+from balsamspoke_catalogue import CatalogueSettings
+from balsamspoke_fakes.properties import examples
+from balsamspoke_types.objects import KeyRecord, Kind, Team
+from hypothesis import given
+from hypothesis import strategies as st
+
+from .fleet import Fleet, make_adapter
+
+VMS = ("w1", "w2", "e1", "e2", "side1")
+SIDE_KINDS = (Kind.MODEL, Kind.SERVICE, Kind.KEY)
+SETTINGS = CatalogueSettings(
+    page_bytes=200,
+    sweep_interval=timedelta(seconds=60),
+    sweep_pause=timedelta(milliseconds=10),
+)
+# Twice the watch period, a pull and its spread, and a whole sweep.
+CONVERGENCE_SECONDS = 75
+
+names = st.integers(0, 5).map(lambda number: f"a{number}")
+vms = st.sampled_from(VMS)
+events = st.one_of(
+    st.tuples(st.just("write"), names, st.integers(1, 9)),
+    st.tuples(st.just("delete"), names),
+    st.tuples(st.just("key"), st.booleans()),
+    st.tuples(st.just("restart"), vms),
+    st.tuples(st.just("pause"), vms),
+    st.tuples(st.just("resume"), vms),
+    st.tuples(st.just("cut"), vms, vms),
+    st.tuples(st.just("cut store"), vms),
+    st.tuples(st.just("outage"), st.booleans()),
+    st.tuples(st.just("stale"), vms, st.integers(0, 6)),
+    st.tuples(st.just("lost events"), vms, st.sampled_from([0.5, 1.0])),
+    st.tuples(st.just("double events"), vms),
+    st.tuples(st.just("lost replies"), vms),
+    st.tuples(st.just("end watches"), vms),
+    st.tuples(st.just("messages"), st.sampled_from([0.0, 0.3]), st.booleans()),
+    st.tuples(st.just("heal")),
+)
+schedules = st.lists(st.tuples(events, st.floats(0, 8)), max_size=25)
+
+
+class Schedule:
+    """Play generated failures on a fleet of keepers."""
+
+    def __init__(self, seed):
+        self.fleet = Fleet(seed, SETTINGS)
+        self.fleet.fill(3)
+        for vm in VMS:
+            self.start(vm)
+        self.fleet.advance(5)
+
+    def start(self, vm):
+        kinds = SIDE_KINDS if vm.startswith("side") else None
+        arguments = {"kinds": kinds} if kinds else {}
+        self.fleet.start(vm, watching=vm.startswith("w"), **arguments)
+
+    def play(self, event):
+        name, *arguments = event
+        getattr(self, name.replace(" ", "_"))(*arguments)
+
+    def write(self, name, version):
+        self.fleet.put(make_adapter(name, version=version), Kind.ADAPTER)
+
+    def delete(self, name):
+        if (Kind.ADAPTER, name) in self.fleet.state.objects:
+            self.fleet.state.put(Kind.ADAPTER, name, b"", deleted=True)
+
+    def key(self, is_withdrawn):
+        if is_withdrawn:
+            self.fleet.state.put(Kind.KEY, "k", b"", deleted=True)
+        else:
+            self.fleet.put(KeyRecord("k", "t", "1" * 64), Kind.KEY)
+
+    def restart(self, vm):
+        self.fleet.kill(vm)
+        self.start(vm)
+
+    def pause(self, vm):
+        self.fleet.processes[vm].clock.pause()
+
+    def resume(self, vm):
+        self.fleet.processes[vm].clock.resume()
+
+    def cut(self, left, right):
+        self.fleet.network.cut.add((left, right))
+
+    def cut_store(self, vm):
+        self.fleet.processes[vm].store.reachable = False
+
+    def outage(self, is_on):
+        self.fleet.state.available = not is_on
+
+    def stale(self, vm, revisions):
+        self.fleet.processes[vm].store.stale_reads = revisions
+
+    def lost_events(self, vm, rate):
+        self.fleet.processes[vm].store.lost_event_rate = rate
+
+    def double_events(self, vm):
+        self.fleet.processes[vm].store.doubles_events = True
+
+    def lost_replies(self, vm):
+        self.fleet.processes[vm].store.lost_reply_rate = 0.5
+
+    def end_watches(self, vm):
+        self.fleet.processes[vm].store.end_watches()
+
+    def messages(self, rate, reorder):
+        network = self.fleet.network
+        network.loss_rate = network.double_rate = rate
+        network.jitter = timedelta(seconds=2 if reorder else 0)
+
+    def heal(self):
+        self.fleet.network.heal()
+        self.messages(0.0, False)
+        self.fleet.state.available = True
+        for process in self.fleet.processes.values():
+            process.clock.resume()
+            store = process.store
+            store.reachable = True
+            store.stale_reads = 0
+            store.lost_event_rate = store.lost_reply_rate = 0.0
+            store.doubles_events = False
+
+
+class ScheduleTest(unittest.TestCase):
+    @examples(60)
+    @given(seed=st.integers(0, 2**16), schedule=schedules)
+    def test_never_reverts_and_converges(self, seed, schedule):
+        played = Schedule(seed)
+        for event, pause in schedule:
+            played.play(event)
+            played.fleet.advance(pause)
+        played.heal()
+        played.fleet.advance(CONVERGENCE_SECONDS)
+        self.assertEqual(played.fleet.checker.violations, [])
+        self.assertEqual(played.fleet.find_stale(), [])
+
+    @examples(30)
+    @given(seed=st.integers(0, 2**16), cut=st.sets(vms.filter("w1".__ne__)))
+    def test_change_is_in_force_within_six_seconds(self, seed, cut):
+        played = Schedule(seed)
+        for vm in cut:
+            played.cut_store(vm)
+        played.fleet.put(Team("t", 5.0, 50), Kind.TEAM)
+        played.key(True)
+        played.fleet.advance(6)
+        self.assertEqual(played.fleet.find_stale(), [])
+
+    def test_checker_finds_a_reversion(self):
+        fleet = Fleet()
+        fleet.checker.note("p", Kind.KEY, "k", 5)
+        fleet.checker.note("p", Kind.KEY, "k", 4)
+        fleet.checker.note("q", Kind.KEY, "k", 5)
+        fleet.checker.note("q", Kind.KEY, "k", None)
+        self.assertEqual(len(fleet.checker.violations), 2)
+
+    def test_checker_finds_what_is_stale(self):
+        fleet = Schedule(0).fleet
+        view = fleet.processes["e1"].keeper.view
+        newest = fleet.state.put(Kind.KEY, "k", b"", deleted=True)
+        self.assertEqual(fleet.find_stale(), list(VMS))
+        view.put(newest)
+        self.assertNotIn("e1", fleet.find_stale())
