--- a/libs/daemon/src/balsamspoke_daemon/logs.py
+++ b/libs/daemon/src/balsamspoke_daemon/logs.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 
 import orjson
-from balsamspoke_node import Observer, RequestEnded, TokensGap
+from balsamspoke_node import CatalogueChanged, Observer, RequestEnded, TokensGap
 from balsamspoke_types.keys import hide_keys
 from loguru import logger
 
@@ -14,6 +14,8 @@
 ROTATION_BYTES = 50_000_000
 KEPT_FILES = 3
 
+_FREQUENT = (CatalogueChanged, RequestEnded)
+
 
 def set_up_logs(settings, process):
     """Send logs where the settings say.
@@ -72,7 +74,7 @@
         if isinstance(event, RequestEnded) and event.refusal is not None:
             self._log_refusal(name, event)
             return
-        level = "DEBUG" if isinstance(event, RequestEnded) else "INFO"
+        level = "DEBUG" if isinstance(event, _FREQUENT) else "INFO"
         self._log(level, name, event)
 
     def _log_refusal(self, name, event):
--- a/libs/node/src/balsamspoke_node/__init__.py
+++ b/libs/node/src/balsamspoke_node/__init__.py
@@ -3,7 +3,7 @@
 from .callers import CallerRequest, Exchange, Responder
 from .entry import EntryNode
 from .events import (
-    CatalogueAdvanced,
+    CatalogueChanged,
     Observer,
     ObserverGroup,
     RequestEnded,
@@ -17,7 +17,7 @@
 
 __all__ = [
     "CallerRequest",
-    "CatalogueAdvanced",
+    "CatalogueChanged",
     "EntryNode",
     "EntrySettings",
     "Exchange",
--- a/libs/node/src/balsamspoke_node/entry.py
+++ b/libs/node/src/balsamspoke_node/entry.py
@@ -4,12 +4,12 @@
 from balsamspoke_limits import Limits, TeamBudgets
 from balsamspoke_membership import Membership, MemberState
 from balsamspoke_routing import AttemptRunner, IdempotencyLedger, ReplicaDirectory
-from balsamspoke_types.messages import ReplicaReport
+from balsamspoke_types.objects import Kind
 from balsamspoke_types.ports import PeerHandler, VmState
 from twisted.internet.defer import Deferred
 
 from .context import EntryContext
-from .events import CatalogueAdvanced, ObserverGroup, SilentObserver, StopStarted
+from .events import CatalogueChanged, ObserverGroup, SilentObserver, StopStarted
 from .explanations import Explanations
 from .frontdoor import RequestHandler
 from .settings import EntrySettings
@@ -78,8 +78,9 @@
             on_change=self._note_members,
             on_vms=self._note_vms,
             is_wanted=self._is_wanted,
+            on_status=self.catalogue.note_revision,
         )
-        self.directory = ReplicaDirectory(clock, random_source, settings.routing)
+        self.directory = ReplicaDirectory(clock, random_source, settings.directory)
         self.budgets = TeamBudgets(
             process,
             clock,
@@ -95,9 +96,9 @@
             random_source,
             transport.send,
             self.directory,
-            IdempotencyLedger(process, clock, store, settings.routing),
+            IdempotencyLedger(process, clock, store, random_source, settings.ledger),
             self.catalogue.view.is_key_valid,
-            settings.routing,
+            settings.attempts,
         )
         self.context = EntryContext(
             process,
@@ -181,9 +182,6 @@
 
     def peer_message(self, peer, message):
         """Hand a message to whom it concerns."""
-        if isinstance(message, ReplicaReport):
-            self.directory.note_report(peer, message)
-            return
         _ = (
             self.runner.peer_message(peer, message)
             or self.membership.peer_message(peer, message)
@@ -214,8 +212,11 @@
     def _get_revision(self):
         return self.catalogue.view.revision
 
-    def _note_catalogue(self):
-        self._observer.observe(CatalogueAdvanced(self.catalogue.view.revision))
+    def _note_catalogue(self, kind, name):
+        if kind is Kind.TEAM:
+            self.budgets.note_limits(name)
+        version = self.catalogue.view.version_of(kind, name)
+        self._observer.observe(CatalogueChanged(kind, name, version))
 
     def _is_wanted(self, vm):
         return vm.vm != self.identity.vm
@@ -242,8 +243,7 @@
 
     def _choose_catalogue_sources(self, entries):
         usable = [entry for entry in entries if entry.state is not MemberState.SUSPECT]
-        for entry in usable:
-            self.catalogue.note_revision(entry.process, entry.catalogue_revision)
+        self.directory.set_entry_count(len(usable) + 1)
         self.catalogue.set_peers(tuple(entry.process for entry in usable))
         domain = self.identity.failure_domain
         same_domain = [
--- a/libs/node/src/balsamspoke_node/events.py
+++ b/libs/node/src/balsamspoke_node/events.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from balsamspoke_types.objects import PriorityClass
+from balsamspoke_types.objects import Kind, PriorityClass
 from balsamspoke_types.outcomes import Refusal
 
 
@@ -54,10 +54,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CatalogueAdvanced:
-    """The catalogue in force moved on to a revision."""
+class CatalogueChanged:
+    """Another version of an object is in force here."""
 
-    revision: int
+    kind: Kind
+    name: str
+    version: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/node/src/balsamspoke_node/settings.py
+++ b/libs/node/src/balsamspoke_node/settings.py
@@ -7,7 +7,7 @@
 from balsamspoke_limits import BudgetSettings
 from balsamspoke_membership import MembershipSettings
 from balsamspoke_replica import ReplicaSettings
-from balsamspoke_routing import RoutingSettings
+from balsamspoke_routing import AttemptSettings, DirectorySettings, LedgerSettings
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +40,9 @@
     budgets: BudgetSettings = field(default_factory=BudgetSettings)
     catalogue: CatalogueSettings = field(default_factory=CatalogueSettings)
     membership: MembershipSettings = field(default_factory=MembershipSettings)
-    routing: RoutingSettings = field(default_factory=RoutingSettings)
+    attempts: AttemptSettings = field(default_factory=AttemptSettings)
+    directory: DirectorySettings = field(default_factory=DirectorySettings)
+    ledger: LedgerSettings = field(default_factory=LedgerSettings)
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/node/src/balsamspoke_node/side.py
+++ b/libs/node/src/balsamspoke_node/side.py
@@ -92,6 +92,7 @@
             on_change=self._note_members,
             on_vms=lambda records, asked_at: None,
             is_wanted=lambda vm: False,
+            on_status=self.catalogue.note_revision,
         )
         self._connected = set()
         self._stopping = False
@@ -156,8 +157,8 @@
     def _get_revision(self):
         return self.catalogue.view.revision
 
-    def _note_catalogue(self):
-        if self._engine is None:
+    def _note_catalogue(self, kind, name):
+        if self._engine is None or (kind, name) != (Kind.MODEL, self.identity.service):
             return
         model = self.catalogue.view.model(self.identity.service)
         if model is None:
@@ -170,8 +171,6 @@
     def _note_members(self):
         members = self.membership.members()
         usable = [one for one in members if one.state is not MemberState.SUSPECT]
-        for member in usable:
-            self.catalogue.note_revision(member.process, member.catalogue_revision)
         self.catalogue.set_peers(tuple(one.process for one in usable))
 
     def _open_replica(self, replica):
--- a/libs/node/src/balsamspoke_node/watchers.py
+++ b/libs/node/src/balsamspoke_node/watchers.py
@@ -17,5 +17,9 @@
     -------
     frozenset of ProcessId
     """
-    ranked = sorted(processes, key=lambda process: xxhash.xxh64_digest(str(process)))
+    ranked = sorted(processes, key=_rank)
     return frozenset(ranked[:count])
+
+
+def _rank(process):
+    return xxhash.xxh64_intdigest(str(process).encode())
