--- a/libs/daemon/src/balsamspoke_daemon/callers.py
+++ b/libs/daemon/src/balsamspoke_daemon/callers.py
@@ -1,7 +1,12 @@
 """The callers' HTTP port: bounded requests in, answers out."""
 
+import orjson
 from balsamspoke_node import CallerRequest, Responder
-from balsamspoke_node.responses import write_refusal, write_whole
+from balsamspoke_node.responses import (
+    describe_refusal,
+    write_refusal,
+    write_whole,
+)
 from balsamspoke_types.outcomes import Cause, Ran, Refusal
 from twisted.internet.interfaces import IPushProducer
 from twisted.web import http
@@ -77,6 +82,49 @@
             self._request.unregisterProducer()
 
 
+class EarlyResponder(HttpResponder):
+    """Write an answer before the request has come in whole, then hang up.
+
+    The request isn't finished towards twisted.web, which still expects its body.
+    """
+
+    def end(self):
+        """Close the connection after the answer."""
+        if not self.is_ended:
+            self._close()
+            self._request.loseConnection()
+
+
+class CallerChannel(http.HTTPChannel):
+    """One connection of a caller."""
+
+    def connectionMade(self):
+        """Count the connection."""
+        self.factory.connections += 1
+        super().connectionMade()
+
+    def connectionLost(self, reason):
+        """Count the connection as closed."""
+        self.factory.connections -= 1
+        super().connectionLost(reason)
+
+    def _respondToBadRequestAndDisconnect(self):
+        """Refuse bytes that aren't HTTP in the shape of every other refusal."""
+        body = orjson.dumps(describe_refusal(_NOT_HTTP, ""))
+        head = _NOT_HTTP_HEAD + b"content-length: %d\r\n\r\n" % len(body)
+        self.transport.write(head + body)
+        self.loseConnection()
+
+
+_NOT_HTTP = Refusal(Cause.MALFORMED, Ran.NOT_RUN, "the request is not valid HTTP")
+_NOT_HTTP_HEAD = (
+    b"HTTP/1.1 400 Bad Request\r\n"
+    b"content-type: application/json\r\n"
+    b"x-outcome: not-run\r\n"
+    b"connection: close\r\n"
+)
+
+
 class CallerHttpRequest(http.Request):
     """One request of a caller, refused as soon as it is too large or too slow."""
 
@@ -163,8 +211,7 @@
         self.method = self.method if self.method != b"(no method yet)" else b"POST"
         self.clientproto = b"HTTP/1.1"
         self.responseHeaders.setRawHeaders(b"connection", [b"close"])
-        self._refuse(HttpResponder(self), cause, message)
-        self.loseConnection()
+        self._refuse(EarlyResponder(self), cause, message)
 
     def _refuse(self, responder, cause, message):
         write_refusal(responder, Refusal(cause, Ran.NOT_RUN, message), "")
@@ -188,6 +235,8 @@
         For time limits.
     """
 
+    protocol = CallerChannel
+
     def __init__(self, node, settings, reactor):
         super().__init__(timeout=IDLE_CONNECTION_SECONDS, reactor=reactor)
         self.node = node
@@ -202,18 +251,7 @@
             return None
         protocol = super().buildProtocol(address)
         protocol.requestFactory = CallerHttpRequest
-        self._count(protocol)
         return protocol
 
     def log(self, request):
         """Leave the access log to the node's observer."""
-
-    def _count(self, protocol):
-        self.connections += 1
-        lose = protocol.connectionLost
-
-        def note_loss(reason):
-            self.connections -= 1
-            lose(reason)
-
-        protocol.connectionLost = note_loss
--- a/libs/daemon/src/balsamspoke_daemon/logs.py
+++ b/libs/daemon/src/balsamspoke_daemon/logs.py
@@ -1,6 +1,7 @@
 """Structured logs: one JSON object a line, no keys, repeated failures bounded."""
 
 import sys
+import traceback
 from datetime import timedelta
 
 import orjson
@@ -29,7 +30,13 @@
     """
     logger.remove()
     logger.configure(extra={"process": str(process)}, patcher=_add_line)
-    options = {"level": settings.log_level, "format": "{extra[line]}"}
+    # A traceback must not show the values of variables, and comes in the line.
+    options = {
+        "level": settings.log_level,
+        "format": _choose_format,
+        "diagnose": False,
+        "backtrace": False,
+    }
     if settings.log_file is None:
         logger.add(sys.stderr, **options)
     else:
@@ -38,6 +45,10 @@
         )
 
 
+def _choose_format(record):
+    return "{extra[line]}\n"
+
+
 def _add_line(record):
     """Put the JSON line into the record; every text in it is freed of keys."""
     fields = {
@@ -48,6 +59,7 @@
     }
     if record["exception"] is not None:
         fields["error"] = repr(record["exception"].value)
+        fields["traceback"] = "".join(traceback.format_exception(*record["exception"]))
     encoded = orjson.dumps(fields, default=str)
     record["extra"]["line"] = hide_keys(encoded.decode())
 
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -1,13 +1,24 @@
-"""Generate the protocol code of the wire library from its .proto files."""
+"""Generate the protocol code from its .proto files, and the table of settings."""
 
 import argparse
 import sys
 import tempfile
 from pathlib import Path
 
+from balsamspoke_daemon.settings import format_reference
 from grpc_tools import protoc
 
-WIRE = Path(__file__).resolve().parent.parent / "libs" / "wire"
+ROOT = Path(__file__).resolve().parent.parent
+SETTINGS_PAGE = ROOT / "docs" / "reference" / "settings.md"
+SETTINGS_INTRODUCTION = """# Settings of balsamspoked
+
+Each setting is a flag or an environment variable; flags go first. All are checked at
+start, and all problems are listed at once; `--check` only checks, `--print-settings`
+prints what is in force without secrets. This page is generated from the definitions
+by `tools/generate.py`.
+
+"""
+WIRE = ROOT / "libs" / "wire"
 PROTO_DIRECTORY = WIRE / "proto"
 GENERATED_DIRECTORY = WIRE / "src" / "balsamspoke_wire" / "generated"
 
@@ -26,7 +37,18 @@
         sys.exit("protoc failed")
 
 
+def format_settings_page():
+    """Return the reference page of the settings."""
+    return SETTINGS_INTRODUCTION + format_reference()
+
+
 def find_stale():
+    """Return the names of committed files that differ from a fresh generation."""
+    is_page_fresh = SETTINGS_PAGE.read_text() == format_settings_page()
+    return find_stale_modules() + ([] if is_page_fresh else [SETTINGS_PAGE.name])
+
+
+def find_stale_modules():
     """Return the names of committed modules that differ from a fresh generation."""
     with tempfile.TemporaryDirectory() as fresh:
         generate(fresh)
@@ -44,6 +66,7 @@
     parser.add_argument("--check", action="store_true")
     if not parser.parse_args().check:
         generate(GENERATED_DIRECTORY)
+        SETTINGS_PAGE.write_text(format_settings_page())
         return
     stale = find_stale()
     if stale:
