Keep the least headroom as plain steps; check double holding at each step

Cause: the Fenwick tree cost most of a local decision, and the window bound alone hid two holders of the same units (mutation wait-zero passed the property).

--- a/libs/limits/src/balsamspoke_limits/headroom.py
+++ b/libs/limits/src/balsamspoke_limits/headroom.py
@@ -2,27 +2,23 @@
 
 from bisect import bisect_right
 
-_LEAST_SIZE = 16
+_SPARE_STEPS = 16
 
 
 class HeadroomHistory:
     """The least headroom since each of a number of moments.
 
-    The least headroom never falls from an earlier moment to a later one, so
-    the differences between neighbours are kept, in a Fenwick tree.
+    The least headroom never falls from an earlier moment to a later one, so it
+    is kept as the steps by which it rises, in the order of the moments. A step
+    is found by bisection; what is summed is a plain list of integers.
     """
 
-    def __init__(self):
-        self._reset(_LEAST_SIZE)
+    __slots__ = ("_last", "_open", "_sizes", "_slots", "_total")
 
-    def _reset(self, size):
-        self._size = size
-        self._tree = [0] * (size + 1)
-        self._differences = {}
-        self._nonzero = []
+    def __init__(self):
         self._open = {}
-        self._next = 0
-        self._total = 0
+        self._last = 0
+        self._clear()
 
     def __len__(self):
         return len(self._open)
@@ -33,27 +29,26 @@
         Parameters
         ----------
         mark : object
-            Its ``slot`` attribute is maintained until ``end``.
+            Passed to ``end``; its ``slot`` attribute is set.
         headroom : int
             Headroom now, not less than the last one noted.
         """
         if not self._open:
-            self._reset(_LEAST_SIZE)
-        elif self._next == self._size:
-            self._rebuild()
-        self._append(mark, headroom)
-
-    def _append(self, mark, headroom):
-        mark.slot = self._next
-        self._open[self._next] = mark
-        self._next += 1
-        self._add(mark.slot, headroom - self._total)
+            self._clear()
+        elif len(self._slots) > 2 * len(self._open) + _SPARE_STEPS:
+            self._merge()
+        self._last += 1
+        mark.slot = self._last
+        self._open[self._last] = mark
+        if headroom > self._total:
+            self._slots.append(self._last)
+            self._sizes.append(headroom - self._total)
+            self._total = headroom
 
     def note(self, headroom):
         """Note the headroom now."""
-        while self._nonzero and self._total > headroom:
-            last = self._nonzero[-1]
-            self._add(last, -min(self._differences[last], self._total - headroom))
+        if self._total > headroom:
+            self._lower(len(self._slots), self._total - headroom)
 
     def end(self, mark, wanted):
         """Stop watching and give the credit that fits.
@@ -72,47 +67,39 @@
             The credit.
         """
         del self._open[mark.slot]
-        credit = min(wanted, self._sum(mark.slot))
-        self._lessen(mark.slot, credit)
+        count = bisect_right(self._slots, mark.slot)
+        credit = min(wanted, sum(self._sizes[:count]))
+        self._lower(count, credit)
         return credit
 
-    def _lessen(self, slot, amount):
-        position = bisect_right(self._nonzero, slot) - 1
+    def _lower(self, count, amount):
+        """Take an amount off the last of the first ``count`` steps."""
+        self._total -= amount
+        end = count
         while amount:
-            nearest = self._nonzero[position]
-            part = min(amount, self._differences[nearest])
-            self._add(nearest, -part)
-            amount -= part
-            position -= 1
-
-    def _add(self, slot, change):
-        if not change:
-            return
-        self._total += change
-        before = self._differences.get(slot, 0)
-        if not before:
-            self._nonzero.insert(bisect_right(self._nonzero, slot), slot)
-        elif before + change == 0:
-            del self._nonzero[bisect_right(self._nonzero, slot) - 1]
-        self._differences[slot] = before + change
-        index = slot + 1
-        while index <= self._size:
-            self._tree[index] += change
-            index += index & -index
-
-    def _sum(self, slot):
-        index = slot + 1
-        total = 0
-        while index:
-            total += self._tree[index]
-            index &= index - 1
-        return total
-
-    def _rebuild(self):
-        kept = [(mark, self._sum(slot)) for slot, mark in self._open.items()]
-        size = _LEAST_SIZE
-        while size < 2 * len(kept):
-            size *= 2
-        self._reset(size)
-        for mark, headroom in kept:
-            self._append(mark, headroom)
+            size = self._sizes[count - 1]
+            if size > amount:
+                self._sizes[count - 1] = size - amount
+                break
+            amount -= size
+            count -= 1
+        del self._slots[count:end]
+        del self._sizes[count:end]
+
+    def _clear(self):
+        self._slots = []
+        self._sizes = []
+        self._total = 0
+
+    def _merge(self):
+        """Merge steps between which no moment is watched any more."""
+        slots, sizes = self._slots, self._sizes
+        self._clear()
+        start = 0
+        for slot in self._open:
+            end = bisect_right(slots, slot)
+            if end > start:
+                self._slots.append(slot)
+                self._sizes.append(sum(sizes[start:end]))
+                start = end
+        self._total = sum(self._sizes)
--- a/libs/limits/tests/fleet.py
+++ b/libs/limits/tests/fleet.py
@@ -122,6 +122,13 @@
         Of everything that is drawn.
     limits : dict of str to Limits
         By team.
+
+    Attributes
+    ----------
+    uses : list of Use
+        Everything that callers were granted.
+    overheld : list
+        Times at which more units than there are could be granted from.
     """
 
     def __init__(self, count, seed, limits, settings=QUICK):
@@ -137,6 +144,7 @@
             for team, found in limits.items()
         }
         self.uses = []
+        self.overheld = []
         self.entries = {}
         self.hidden = set()
         self._boots = 0
@@ -206,6 +214,12 @@
         while self.time.elapsed < end:
             self.call_greedily()
             self.time.advance(CALL_INTERVAL)
+            self._check_units()
+
+    def _check_units(self):
+        for group, units in self.count_units().items():
+            if units > self.settings.units:
+                self.overheld.append((self.time.elapsed, group, units))
 
     def find_excess(self):
         """Return the worst Excess by team, for teams that have one."""
