--- a/libs/routing/src/balsamspoke_routing/__init__.py
+++ b/libs/routing/src/balsamspoke_routing/__init__.py
@@ -12,6 +12,7 @@
 from .requests import AnswerSink, CallRequest, GenerationRequest, RunningRequest
 from .runner import AttemptRunner
 from .settings import AttemptSettings, DirectorySettings, LedgerSettings
+from .sweeper import RecordSweeper
 
 __all__ = [
     "AdapterAffinity",
@@ -25,6 +26,7 @@
     "LeastLoaded",
     "LedgerSettings",
     "PlainRendezvous",
+    "RecordSweeper",
     "ReplicaDescription",
     "ReplicaDirectory",
     "RoundRobin",
--- a/libs/routing/src/balsamspoke_routing/settings.py
+++ b/libs/routing/src/balsamspoke_routing/settings.py
@@ -125,7 +125,9 @@
     sweep_interval : timedelta
         Time between two deletions of old records, over all processes.
     sweep_deletes : int
-        Most records deleted in one go.
+        Most records deleted in one turn.
+    sweep_pages : int
+        Most pages listed in one turn.
     remembered_writes : int
         Unsettled writes of this process that are remembered.
     """
@@ -139,4 +141,5 @@
     kept_time: timedelta = timedelta(hours=24)
     sweep_interval: timedelta = timedelta(minutes=10)
     sweep_deletes: int = 200
+    sweep_pages: int = 20
     remembered_writes: int = 1000
--- /dev/null
+++ b/libs/routing/tests/test_sweeper.py
@@ -0,0 +1,69 @@
+import random
+import unittest
+from datetime import timedelta
+
+from balsamspoke_fakes import FakeStore, StoreState, VirtualClock, VirtualTime
+from balsamspoke_routing import LedgerSettings, RecordSweeper
+from balsamspoke_routing.records import IdempotencyRecord, RecordState
+from balsamspoke_types.identifiers import AttemptId, ProcessId
+from balsamspoke_types.objects import Kind
+
+PROCESS = ProcessId("entry", 1)
+DAY = timedelta(hours=25)
+
+
+class SweeperTest(unittest.TestCase):
+    def setUp(self):
+        self.time = VirtualTime()
+        self.state = StoreState()
+        self.clock = VirtualClock(self.time)
+        self.sweepers = [self.make_sweeper(seed) for seed in range(3)]
+
+    def make_sweeper(self, seed):
+        store = FakeStore(self.state, self.clock)
+        settings = LedgerSettings(sweep_deletes=4)
+        return RecordSweeper(self.clock, store, random.Random(seed), settings)
+
+    def add_records(self, count):
+        for number in range(count):
+            record = IdempotencyRecord(
+                "digest",
+                AttemptId(PROCESS, number),
+                PROCESS,
+                RecordState.ANSWERED,
+                f"operation {number}",
+                self.clock.now(),
+            )
+            name = f"{self.state.revision}"
+            self.state.put(Kind.IDEMPOTENCY, name, record.encode())
+
+    def count_records(self):
+        return len([name for kind, name in self.state.objects if name != ".sweep"])
+
+    def test_old_records_go_and_young_ones_stay(self):
+        self.add_records(10)
+        self.time.advance(DAY)
+        self.add_records(5)
+        for sweeper in self.sweepers:
+            sweeper.start()
+        self.time.advance(timedelta(hours=2))
+        self.assertEqual(self.count_records(), 5)
+
+    def test_one_turn_is_bounded_and_one_process_takes_it(self):
+        self.add_records(10)
+        self.time.advance(DAY)
+        for sweeper in self.sweepers:
+            sweeper.sweep()
+        self.time.advance(timedelta(seconds=1))
+        self.assertEqual(self.count_records(), 6)
+
+    def test_outage_is_passed_over(self):
+        self.add_records(3)
+        self.time.advance(DAY)
+        self.state.available = False
+        self.sweepers[0].sweep()
+        self.time.advance(timedelta(seconds=10))
+        self.state.available = True
+        self.sweepers[0].sweep()
+        self.time.advance(timedelta(seconds=10))
+        self.assertEqual(self.count_records(), 0)
