--- a/libs/routing/src/balsamspoke_routing/generations.py
+++ b/libs/routing/src/balsamspoke_routing/generations.py
@@ -241,6 +241,10 @@
             key_version=request.key_version,
         )
 
+    def _make_refusal(self, cause, may_run):
+        # Whatever a side process says: tokens were delivered, so something ran.
+        return super()._make_refusal(cause, may_run or self._assembly.offset > 0)
+
     def _pass_deadline(self):
         may_run = self._attempt is not None
         self._abandon_attempt()
--- a/libs/routing/src/balsamspoke_routing/keyed_calls.py
+++ b/libs/routing/src/balsamspoke_routing/keyed_calls.py
@@ -4,6 +4,7 @@
 
 from .calls import CallRun
 from .claims import AnswerSaved, Granted, KeyReused, OutcomeUnknown, Pending
+from .exceptions import RecordUnavailable
 from .records import RecordState
 
 
@@ -66,7 +67,8 @@
     def _fail_claim(self, failure):
         # Whatever went wrong: without a grant nothing is handed over.
         self._claiming = False
-        self._refuse(Cause.RECORD_UNAVAILABLE)
+        is_expected = failure.check(RecordUnavailable)
+        self._refuse(Cause.RECORD_UNAVAILABLE if is_expected else Cause.INTERNAL)
         self._settle()
 
     def _give_up_claim(self):
