--- a/libs/routing/tests/test_outcomes.py
+++ b/libs/routing/tests/test_outcomes.py
@@ -1,4 +1,5 @@
 import unittest
+from datetime import timedelta
 
 from balsamspoke_types.outcomes import Cause, Ran
 
@@ -134,6 +135,19 @@
         self.assertEqual(trace.ends[0][0], "answer")
         self.check()
 
+    def test_record_that_comes_too_late_is_released(self):
+        world = self.world
+        world.entries[0].store.delay = timedelta(seconds=1)
+        late = world.call(key="k", deadline=30.0)
+        world.advance(1.6)
+        self.assertEqual(self.get_refusal(late).cause, Cause.RECORD_UNAVAILABLE)
+        world.advance(20)
+        self.assertEqual(world.hand_overs, [])
+        repeat = world.call(entry=1, key="k")
+        world.advance(2)
+        self.assertEqual(repeat.ends[0][0], "answer")
+        self.check()
+
     def test_lost_answer_is_unknown_and_stays_so(self):
         for side in self.world.sides:
             side.loses_answers = True
--- a/libs/routing/tests/test_properties.py
+++ b/libs/routing/tests/test_properties.py
@@ -105,6 +105,11 @@
     pick(world.entries, number).store.stale_reads = number % 3
 
 
+def slow_store(world, number):
+    delay = (0.001, 0.9, 2.0)[number % 3]
+    pick(world.entries, number).store.delay = timedelta(seconds=delay)
+
+
 REQUESTS = (generate, call_with_key, call_with_key, call_without_key, call_idempotent)
 FAILURES = (
     cancel,
@@ -122,6 +127,7 @@
     toggle_store,
     lose_replies,
     read_stale,
+    slow_store,
 )
 STEP = st.tuples(
     st.one_of(st.sampled_from(REQUESTS), st.sampled_from(FAILURES)),
@@ -163,6 +169,7 @@
                         lose_replies,
                         toggle_store,
                         read_stale,
+                        slow_store,
                         restart_side,
                     )
                 ),
--- a/libs/routing/tests/world.py
+++ b/libs/routing/tests/world.py
@@ -312,3 +312,4 @@
         for entry in self.entries:
             entry.store.lost_reply_rate = 0.0
             entry.store.stale_reads = 0
+            entry.store.delay = timedelta(milliseconds=1)
