--- a/libs/platform/src/balsamspoke_platform/__init__.py
+++ b/libs/platform/src/balsamspoke_platform/__init__.py
@@ -7,7 +7,7 @@
 from .exceptions import EventStreamError, HttpFailure, NotSent, ReplyLost
 from .http import HttpCaller, HttpReply, build_agent
 from .plain_service import HttpPlainService
-from .settled_write import write_settled
+from .settled_write import delete_settled, write_settled
 from .store import HttpObjectStore
 from .vm_list import HttpVmList
 
@@ -25,6 +25,7 @@
     "ReactorClock",
     "ReplyLost",
     "build_agent",
+    "delete_settled",
     "listen_eagerly",
     "write_settled",
 ]
--- /dev/null
+++ b/libs/standins/tests/test_clients.py
@@ -0,0 +1,110 @@
+import unittest
+
+import orjson
+from balsamspoke_platform import HttpPlainService, HttpVmList
+from balsamspoke_standins.service import ServiceResource
+from balsamspoke_standins.vm_list import VmListResource
+from balsamspoke_types.exceptions import (
+    BackendLost,
+    BackendRefused,
+    BackendUnreachable,
+    VmListUnavailable,
+)
+from balsamspoke_types.ports import ServiceRequest, VmState
+
+from .memory_network import MemoryNetwork
+
+PORT = 1
+VM = {
+    "vm": "entry-1",
+    "address": "127.0.0.1:7400",
+    "region": "north",
+    "failure_domain": "shari",
+    "role": "entry",
+}
+
+
+class PlainServiceTests(unittest.TestCase):
+    def setUp(self):
+        self.network = MemoryNetwork()
+        self.resource = ServiceResource(self.network.clock)
+        self.service = HttpPlainService(self.network.add(PORT, self.resource))
+
+    def call(self, method, path, body=b"", headers=()):
+        request = ServiceRequest(method, path, headers, body)
+        return self.network.get(self.service.call(request), 3)
+
+    def test_method_path_headers_body_and_status_are_carried(self):
+        headers = (("x-request-id", "r1"), ("connection", "close"))
+        made = self.call("POST", "/bookings?a=b%20c", b'{"boat": 7}', headers)
+        shown = self.call("GET", "/bookings/booking-1")
+        missing = self.call("GET", "/bookings/booking-2")
+        self.assertEqual((made.status, shown.status, missing.status), (201, 200, 404))
+        self.assertEqual(orjson.loads(shown.body), {"boat": 7, "booking": "booking-1"})
+        self.assertIn(("content-type", "application/json"), made.headers)
+        seen = self.resource.calls[0]
+        self.assertEqual(seen["path"], "/bookings?a=b%20c")
+        sent = [[name.lower(), value] for name, value in seen["headers"]]
+        self.assertIn(["x-request-id", "r1"], sent)
+        self.assertNotIn(["connection", "close"], sent)
+
+    def test_lost_answer_and_no_connection(self):
+        self.resource.settings.lose_answers = True
+        with self.assertRaises(BackendLost):
+            self.call("POST", "/bookings", b"{}")
+        self.assertEqual(len(self.resource.bookings), 1)
+        del self.network.sites[PORT]
+        with self.assertRaises(BackendUnreachable):
+            self.call("POST", "/bookings", b"{}")
+
+    def test_given_up_answer_leaves_the_call(self):
+        request = ServiceRequest("POST", "/bookings", (), b"{}")
+        answer = self.service.call(request)
+        failures = []
+        answer.addErrback(failures.append)
+        answer.cancel()
+        self.network.run(0.1)
+        self.assertEqual(len(failures), 1)
+        self.assertEqual(len(self.resource.bookings), 1)
+
+    def test_check(self):
+        self.assertIsNone(self.network.get(self.service.check()))
+        self.resource.settings.healthy = False
+        with self.assertRaises(BackendRefused):
+            self.network.get(self.service.check())
+
+
+class VmListTests(unittest.TestCase):
+    def setUp(self):
+        self.network = MemoryNetwork()
+        self.resource = VmListResource(self.network.clock, [VM])
+        self.caller = self.network.add(PORT, self.resource)
+        self.vm_list = HttpVmList(self.caller)
+
+    def fetch(self):
+        return self.network.get(self.vm_list.fetch(), 3)
+
+    def change(self, method, path, document):
+        call = self.caller.call(
+            method, path, self.vm_list._timeout, (), orjson.dumps(document)
+        )
+        return self.network.get(call)
+
+    def test_changes_are_seen_after_the_lag(self):
+        self.resource.settings.lag_ms = 2000
+        leaving = dict(VM, state="leaving", service="")
+        self.change("PUT", "/vms/entry-1", leaving)
+        self.change("PUT", "/vms/entry-2", VM)
+        self.network.run(1)
+        self.assertEqual([vm.state for vm in self.fetch()], [VmState.LIVE])
+        self.network.run(2)
+        states = {vm.vm: vm.state for vm in self.fetch()}
+        expected = {"entry-1": VmState.LEAVING, "entry-2": VmState.LIVE}
+        self.assertEqual(states, expected)
+
+    def test_outage_and_bad_changes(self):
+        self.assertEqual(self.change("PUT", "/vms", [{"vm": "x"}]).status, 400)
+        self.assertEqual(self.change("DELETE", "/vms/none", {}).status, 404)
+        self.resource.settings.available = False
+        with self.assertRaises(VmListUnavailable):
+            self.fetch()
