Add balsamspokectl: catalogue files, keys, status, wait and explain

Writes are conditional on what was read; each value carries the operation that wrote it, so that a lost reply is settled by reading back, and a conflict shows both sides.

--- /dev/null
+++ b/libs/ctl/src/balsamspoke_ctl/object_commands.py
@@ -0,0 +1,159 @@
+"""Commands on catalogue objects: apply, diff, validate, get, list, delete."""
+
+from twisted.internet.defer import inlineCallbacks, succeed
+
+from .catalogue import Catalogue, read_catalogue
+from .changes import Action, plan_apply, plan_deletion
+from .exceptions import NoSuchItem
+from .exit_codes import ExitCode
+from .files import find_kind, read_files
+from .output import format_table
+from .presentation import (
+    describe_change,
+    describe_object,
+    format_change,
+    format_object,
+)
+
+_COLUMNS = {
+    "teams": ("rate", "burst", "weight"),
+    "models": ("adapter_slots", "batch_size", "max_tokens"),
+    "adapters": ("team", "model", "default_version", "versions", "priority"),
+    "services": ("teams", "open_to_all", "tokens_per_call"),
+    "keys": ("team",),
+}
+
+
+@inlineCallbacks
+def apply(arguments, context):
+    """Bring files into the catalogue."""
+    wanted = read_files(arguments.files)
+    catalogue = yield read_catalogue(context.store)
+    changes = plan_apply(catalogue, wanted)
+    revision = yield _write(changes, context)
+    unchanged = sum(change.action is Action.UNCHANGED for change in changes)
+    context.output.show(
+        {"unchanged": unchanged, "revision": revision},
+        f"{len(changes) - unchanged} written, {unchanged} unchanged",
+    )
+    if arguments.wait and revision:
+        yield report_wait(context, revision)
+    return ExitCode.OK
+
+
+@inlineCallbacks
+def diff(arguments, context):
+    """Show what apply would change."""
+    wanted = read_files(arguments.files)
+    catalogue = yield read_catalogue(context.store)
+    changes = [
+        change
+        for change in plan_apply(catalogue, wanted)
+        if change.action is not Action.UNCHANGED
+    ]
+    context.output.show(
+        {"changes": [describe_change(change) for change in changes]},
+        "\n".join(format_change(change) for change in changes) or "no differences",
+    )
+    return ExitCode.DIFFERENT if changes else ExitCode.OK
+
+
+def validate(arguments, context):
+    """Check files by themselves, without the object API."""
+    wanted = read_files(arguments.files)
+    if arguments.complete:
+        plan_apply(Catalogue(), wanted)
+    context.output.show(
+        {"objects": len(wanted)}, f"{len(wanted)} objects, all of them valid"
+    )
+    return succeed(ExitCode.OK)
+
+
+@inlineCallbacks
+def get(arguments, context):
+    """Show one object."""
+    kind = find_kind(arguments.kind)
+    catalogue = yield read_catalogue(context.store, (kind,))
+    key = (kind, arguments.name)
+    if key not in catalogue.stored:
+        raise NoSuchItem(f"{kind.value}/{arguments.name} doesn't exist")
+    document = describe_object(*key, catalogue.values.get(key), catalogue.stored[key])
+    context.output.show(document, format_object(document))
+    return ExitCode.OK
+
+
+@inlineCallbacks
+def show_list(arguments, context):
+    """List the objects of a kind."""
+    kind = find_kind(arguments.kind)
+    catalogue = yield read_catalogue(context.store, (kind,))
+    documents = [
+        describe_object(*key, catalogue.values.get(key), stored)
+        for key, stored in sorted(catalogue.stored.items(), key=_get_name)
+    ]
+    if arguments.team:
+        documents = [
+            document for document in documents if _belongs(document, arguments.team)
+        ]
+    columns = _COLUMNS[kind.value]
+    rows = [
+        [document["name"], *(_show_cell(document.get(name)) for name in columns)]
+        for document in documents
+    ]
+    context.output.show({"objects": documents}, format_table(["name", *columns], rows))
+    return ExitCode.OK
+
+
+@inlineCallbacks
+def delete(arguments, context):
+    """Delete objects that no other object needs."""
+    kind = find_kind(arguments.kind)
+    revision = yield delete_objects(kind, arguments.names, context)
+    if arguments.wait:
+        yield report_wait(context, revision)
+    return ExitCode.OK
+
+
+@inlineCallbacks
+def delete_objects(kind, names, context):
+    """Delete objects; return a Deferred of the revision of the last deletion."""
+    catalogue = yield read_catalogue(context.store)
+    keys = [(kind, name) for name in names]
+    for key in keys:
+        if key not in catalogue.stored:
+            raise NoSuchItem(f"{kind.value}/{key[1]} doesn't exist")
+    changes = plan_deletion(catalogue, keys)
+    revision = yield _write(changes, context)
+    return revision
+
+
+@inlineCallbacks
+def report_wait(context, revision):
+    """Wait until a revision is in force everywhere, and say so."""
+    answers = yield context.fleet.wait(revision, context.timeout)
+    context.output.show(
+        {"in_force": True, "revision": revision, "processes": len(answers)},
+        f"in force on all {len(answers)} processes (revision {revision})",
+    )
+
+
+def _write(changes, context):
+    def note(written):
+        document = describe_change(written.change, written.revision)
+        context.output.show(document, format_change(written.change, False))
+
+    return context.writer.write_all(changes, note)
+
+
+def _belongs(document, team):
+    return document.get("team") == team or team in (document.get("teams") or ())
+
+
+def _get_name(item):
+    return item[0][1]
+
+
+def _show_cell(value):
+    if isinstance(value, list):
+        return ",".join(map(str, value)) or "-"
+    return "-" if value is None else str(value)
--- /dev/null
+++ b/libs/ctl/src/balsamspoke_ctl/parser.py
@@ -0,0 +1,147 @@
+"""The command line of the tool, with its help."""
+
+import argparse
+from datetime import timedelta
+from pathlib import Path
+
+from balsamspoke_types.objects import CATALOGUE_KINDS
+
+from . import fleet_commands, key_commands, object_commands
+from .exit_codes import format_exit_codes
+
+OBJECT_API_VARIABLE = "BALSAMSPOKE_OBJECT_API"
+VM_LIST_VARIABLE = "BALSAMSPOKE_VM_LIST"
+STATUS_PORT_VARIABLE = "BALSAMSPOKE_STATUS_PORT"
+DEFAULT_STATUS_PORT = "7401"
+DEFAULT_TIMEOUT = timedelta(seconds=30)
+
+_KINDS = [kind.value for kind in CATALOGUE_KINDS]
+_EXAMPLES = """\
+examples:
+  balsamspokectl diff catalogue.yaml            show what apply would change
+  balsamspokectl apply catalogue.yaml --wait    write it, wait until it is in force
+  balsamspokectl key issue prefeitura           issue a key; it is shown once
+  balsamspokectl status --adapter tides         where an adapter is loaded
+  balsamspokectl explain REQUEST-ID             what was decided, and why
+"""
+
+
+def make_parser(environment):
+    """Return the ArgumentParser of the tool.
+
+    Parameters
+    ----------
+    environment : mapping
+        Environment variables, for defaults.
+    """
+    parser = argparse.ArgumentParser(
+        prog="balsamspokectl",
+        description="Look at and change the catalogue, and look at the fleet.",
+        epilog=f"{_EXAMPLES}\n{format_exit_codes()}",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    _add_settings(parser, environment)
+    commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    _add_object_commands(commands)
+    _add_key_commands(commands)
+    _add_fleet_commands(commands)
+    return parser
+
+
+def _add_settings(parser, environment):
+    parser.add_argument(
+        "--object-api",
+        metavar="URL",
+        default=environment.get(OBJECT_API_VARIABLE),
+        help=f"base address of the object API (or {OBJECT_API_VARIABLE})",
+    )
+    parser.add_argument(
+        "--vm-list",
+        metavar="URL",
+        default=environment.get(VM_LIST_VARIABLE),
+        help=f"base address of the VM list (or {VM_LIST_VARIABLE})",
+    )
+    parser.add_argument(
+        "--status-port",
+        type=int,
+        default=environment.get(STATUS_PORT_VARIABLE, DEFAULT_STATUS_PORT),
+        help="port of our processes for operators "
+        f"(or {STATUS_PORT_VARIABLE}; {DEFAULT_STATUS_PORT})",
+    )
+    parser.add_argument(
+        "--timeout",
+        type=_parse_seconds,
+        default=DEFAULT_TIMEOUT,
+        metavar="SECONDS",
+        help="how long to wait for a change to be in force, and to settle a lost reply",
+    )
+    parser.add_argument("--output", choices=("text", "json"), default="text")
+
+
+def _add_object_commands(commands):
+    apply = _add(commands, "apply", object_commands.apply)
+    _add_files(apply)
+    _add_wait(apply)
+    _add_files(_add(commands, "diff", object_commands.diff))
+    validate = _add(commands, "validate", object_commands.validate, needs=())
+    _add_files(validate)
+    validate.add_argument(
+        "--complete",
+        action="store_true",
+        help="the files are the whole catalogue: check references between objects too",
+    )
+    get = _add(commands, "get", object_commands.get)
+    get.add_argument("kind", choices=_KINDS)
+    get.add_argument("name")
+    listing = _add(commands, "list", object_commands.show_list)
+    listing.add_argument("kind", choices=_KINDS)
+    listing.add_argument("--team", help="only what belongs to a team")
+    delete = _add(commands, "delete", object_commands.delete)
+    delete.add_argument("kind", choices=_KINDS)
+    delete.add_argument("names", nargs="+", metavar="NAME")
+    _add_wait(delete)
+
+
+def _add_key_commands(commands):
+    key = commands.add_parser("key", help="Issue and withdraw keys.")
+    actions = key.add_subparsers(dest="action", required=True, metavar="ACTION")
+    issue = _add(actions, "issue", key_commands.issue)
+    issue.add_argument("team", metavar="TEAM")
+    issue.add_argument("--name", help="name of the key's record; drawn if left out")
+    _add_wait(issue)
+    withdraw = _add(actions, "withdraw", key_commands.withdraw)
+    withdraw.add_argument("name", metavar="NAME")
+    _add_wait(withdraw)
+
+
+def _add_fleet_commands(commands):
+    status = _add(commands, "status", fleet_commands.status, needs=("vm_list",))
+    status.add_argument("--adapter", help="where ADAPTER or ADAPTER:VERSION is loaded")
+    wait = _add(commands, "wait", fleet_commands.wait)
+    wait.add_argument("--revision", type=int, help="the newest one if left out")
+    explain = _add(commands, "explain", fleet_commands.explain, needs=("vm_list",))
+    explain.add_argument("request", metavar="REQUEST-ID")
+
+
+def _add(commands, name, run, needs=("object_api",)):
+    summary = run.__doc__.splitlines()[0]
+    command = commands.add_parser(name, help=summary, description=summary)
+    command.set_defaults(run=run, needs=needs)
+    return command
+
+
+def _add_files(command):
+    command.add_argument("files", nargs="+", type=Path, metavar="FILE")
+
+
+def _add_wait(command):
+    command.add_argument(
+        "--wait", action="store_true", help="wait until it is in force everywhere"
+    )
+
+
+def _parse_seconds(text):
+    seconds = float(text)
+    if not 0 <= seconds < 1e6:
+        raise argparse.ArgumentTypeError(f"{text!r} isn't a number of seconds")
+    return timedelta(seconds=seconds)
--- /dev/null
+++ b/libs/ctl/tests/test_objects.py
@@ -0,0 +1,139 @@
+import unittest
+from datetime import timedelta
+
+from balsamspoke_ctl import ExitCode
+from balsamspoke_types.objects import Kind
+
+from .harness import CATALOGUE, CtlHarness
+
+STEP = timedelta(milliseconds=1)
+
+
+class ObjectCommandTests(unittest.TestCase):
+    def setUp(self):
+        self.harness = CtlHarness(self)
+        self.path = self.harness.write(CATALOGUE)
+
+    def find(self, kind, name):
+        return self.harness.state.objects.get((kind, name))
+
+    def test_apply_writes_in_order_and_again_writes_nothing(self):
+        self.assertEqual(self.harness.run("diff", self.path)[0], ExitCode.DIFFERENT)
+        code, results, _ = self.harness.run("apply", self.path)
+        self.assertEqual(code, ExitCode.OK)
+        self.assertIn("+ adapters/tides", results)
+        kinds = [stored.kind for stored in self.harness.state.history]
+        self.assertEqual(kinds, [Kind.TEAM, Kind.MODEL, Kind.ADAPTER])
+        code, results, _ = self.harness.run("apply", self.path)
+        self.assertEqual((code, results), (ExitCode.OK, "0 written, 3 unchanged\n"))
+        self.assertEqual(self.harness.run("diff", self.path)[0], ExitCode.OK)
+
+    def test_update_shows_the_fields(self):
+        self.harness.run("apply", self.path)
+        self.harness.write(CATALOGUE.replace("rate: 100", "rate: 200"))
+        code, results, _ = self.harness.run("diff", self.path)
+        self.assertEqual(code, ExitCode.DIFFERENT)
+        self.assertEqual(results, "~ teams/hotel\n    rate: 100.0 -> 200.0\n")
+
+    def test_all_problems_at_once_with_their_places(self):
+        broken = CATALOGUE.replace("rate: 100", "rate: fast").replace(
+            "default_version: 1", "default_version: 1\n  colour: red"
+        )
+        other = self.harness.write("- kind: boats\n- 7\n- {kind: teams}\n", "b.yaml")
+        unreadable = self.harness.write("a: [\n", "c.yaml")
+        missing = str(self.harness.folder / "none.yaml")
+        path = self.harness.write(broken, "a.yaml")
+        files = (path, other, unreadable, missing)
+        code, _, problems = self.harness.run("validate", *files)
+        self.assertEqual(code, ExitCode.INVALID)
+        for place in ("a.yaml:3:", "a.yaml:12:", "b.yaml:1:", "b.yaml:2:", "b.yaml:3:"):
+            self.assertIn(place, problems)
+        self.assertIn("c.yaml:2:", problems)
+        self.assertIn("none.yaml:1:", problems)
+        self.assertEqual(self.harness.run("apply", *files)[0], ExitCode.INVALID)
+        self.assertEqual(self.harness.state.history, [])
+
+    def test_references_are_checked_against_the_stored_catalogue(self):
+        adapter = CATALOGUE[CATALOGUE.index("- kind: adapters") :]
+        path = self.harness.write(adapter, "adapter.yaml")
+        code, _, problems = self.harness.run("apply", path)
+        self.assertEqual(code, ExitCode.INVALID)
+        self.assertIn("adapter.yaml:3:", problems)
+        self.assertIn("adapter.yaml:4:", problems)
+        self.harness.run("apply", self.path)
+        self.assertEqual(self.harness.run("apply", path)[0], ExitCode.OK)
+
+    def test_fields_and_objects_given_twice(self):
+        path = self.harness.write(CATALOGUE.replace("  burst", "  rate: 1\n  burst"))
+        self.assertIn(":4: rate is given twice", self.harness.run("diff", path)[2])
+        path = self.harness.write(CATALOGUE + CATALOGUE)
+        self.assertIn(
+            ":13: teams/hotel is given twice", self.harness.run("diff", path)[2]
+        )
+
+    def test_racing_change_shows_both_sides_and_is_not_overwritten(self):
+        self.harness.run("apply", self.path)
+        self.harness.write(CATALOGUE.replace("rate: 100", "rate: 200"))
+        mine = self.harness.start("apply", self.path)
+        self.harness.write(CATALOGUE.replace("rate: 100", "rate: 300"), "b.yaml")
+        theirs = self.harness.start(
+            "apply", str(self.harness.folder / "b.yaml"), seed=1
+        )
+        self.harness.time.advance(timedelta(minutes=1))
+        ends = sorted([mine.end(), theirs.end()])
+        self.assertEqual([end[0] for end in ends], [ExitCode.OK, ExitCode.CONFLICT])
+        self.assertIn("300.0", ends[1][2])
+        self.assertIn("200.0", ends[1][2])
+        self.assertEqual(len(self.harness.state.history), 4)
+
+    def test_lost_replies_are_settled(self):
+        for seed in range(20):
+            harness = CtlHarness(self)
+            path = harness.write(CATALOGUE)
+            run = harness.start("apply", path, seed=seed)
+            run.store.lost_reply_rate = 0.3
+            harness.time.advance(timedelta(minutes=5))
+            code, _, _ = run.end()
+            if code == ExitCode.OK:
+                self.assertEqual(len(harness.state.history), 3)
+            else:
+                # The listing failed three times, so nothing was written.
+                self.assertEqual(code, ExitCode.UNAVAILABLE)
+                self.assertEqual(harness.state.history, [])
+
+    def test_outage_in_mid_write(self):
+        run = self.harness.start("--timeout", "10", "apply", self.path)
+        while not self.harness.state.history:
+            self.harness.time.advance(STEP)
+        self.harness.state.available = False
+        self.harness.time.advance(timedelta(minutes=5))
+        code = run.end()[0]
+        self.assertIn(code, (ExitCode.UNKNOWN, ExitCode.UNAVAILABLE))
+        self.harness.state.available = True
+        self.assertEqual(self.harness.run("apply", self.path)[0], ExitCode.OK)
+        self.assertEqual(len(self.harness.state.history), 3)
+
+    def test_reply_that_can_not_be_settled_is_said_so(self):
+        run = self.harness.start("--timeout", "10", "apply", self.path)
+        run.store.loses = lambda what: bool(self.harness.state.history)
+        self.harness.time.advance(timedelta(minutes=5))
+        code, _, problems = run.end()
+        self.assertEqual(code, ExitCode.UNKNOWN)
+        self.assertIn("teams/hotel: it isn't known", problems)
+
+    def test_get_list_and_delete(self):
+        self.harness.run("apply", self.path)
+        code, documents = self.harness.run_json("get", "adapters", "tides")
+        self.assertEqual((code, documents[0]["versions"]), (ExitCode.OK, [1, 2]))
+        code, documents = self.harness.run_json("list", "adapters", "--team", "hotel")
+        self.assertEqual([item["name"] for item in documents[0]["objects"]], ["tides"])
+        code, _, problems = self.harness.run("delete", "teams", "hotel")
+        self.assertEqual(code, ExitCode.INVALID)
+        self.assertIn("adapters/tides.team", problems)
+        self.assertEqual(
+            self.harness.run("delete", "adapters", "tides")[0], ExitCode.OK
+        )
+        self.assertEqual(self.harness.run("delete", "teams", "hotel")[0], ExitCode.OK)
+        self.assertIsNone(self.find(Kind.TEAM, "hotel"))
+        code = self.harness.run("get", "teams", "hotel")[0]
+        self.assertEqual(code, ExitCode.NOT_FOUND)
