Say when somebody else made the same change; test an outage after a lost reply

Two mutations went unnoticed before: calling a write unwritten after its reply was lost and an outage followed, and not reading the operation back.

--- a/libs/ctl/src/balsamspoke_ctl/object_commands.py
+++ b/libs/ctl/src/balsamspoke_ctl/object_commands.py
@@ -138,11 +138,14 @@
 
 
 def _write(changes, context):
-    def note(written):
+    def show(written):
         document = describe_change(written.change, written.revision)
-        context.output.show(document, format_change(written.change, False))
+        document["by_somebody_else"] = not written.is_ours
+        note = "" if written.is_ours else " (somebody else made the same change)"
+        text = format_change(written.change, False) + note
+        context.output.show(document, text)
 
-    return context.writer.write_all(changes, note)
+    return context.writer.write_all(changes, show)
 
 
 def _belongs(document, team):
--- a/libs/ctl/src/balsamspoke_ctl/writing.py
+++ b/libs/ctl/src/balsamspoke_ctl/writing.py
@@ -27,10 +27,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Written:
-    """A change that is in the object API, at a revision of the store."""
+    """A change that is in the object API.
+
+    Attributes
+    ----------
+    change : Change
+        What was wanted.
+    revision : int
+        Revision of the store that has it.
+    is_ours : bool
+        Whether this tool's write did it, not the same one of somebody else.
+    """
 
     change: object
     revision: int
+    is_ours: bool = True
 
 
 class ChangeWriter:
@@ -101,8 +112,7 @@
         is_unsettled = False
         while True:
             try:
-                revision = yield write(change, operation)
-                return Written(change, revision)
+                return (yield write(change, operation))
             except WriteOutcomeUnknown as error:
                 is_unsettled, failure = True, error
             except StoreUnavailable as error:
@@ -121,8 +131,6 @@
         read_version = change.stored.version if change.stored else None
 
         def decide(current):
-            if current is not None and read_operation(current) == operation:
-                return None
             if current is not None and decode_stored(current) == change.after:
                 return None
             if (current.version if current else None) != read_version:
@@ -132,17 +140,21 @@
         found = yield write_settled(
             self._store, change.kind, change.name, decide, change.stored
         )
-        return found.version
+        is_ours = read_operation(found) == operation
+        return Written(change, found.version, is_ours)
 
     @inlineCallbacks
-    def _delete(self, change, operation):
+    def _delete(self, change, _operation):
         try:
             gone = yield delete_settled(
                 self._store, change.kind, change.name, change.stored.version
             )
         except VersionConflict as error:
             raise _make_conflict(change, error.current) from error
-        return gone.version if gone is not None else change.stored.version + 1
+        if gone is None:
+            # Any deletion has a later revision than what it deleted.
+            return Written(change, change.stored.version + 1)
+        return Written(change, gone.version)
 
 
 def _make_conflict(change, current):
--- a/libs/ctl/tests/test_objects.py
+++ b/libs/ctl/tests/test_objects.py
@@ -86,6 +86,15 @@
         self.assertIn("200.0", ends[1][2])
         self.assertEqual(len(self.harness.state.history), 4)
 
+    def test_same_change_by_somebody_else_is_no_conflict(self):
+        runs = [self.harness.start("apply", self.path) for _ in range(2)]
+        self.harness.time.advance(timedelta(minutes=1))
+        ends = [run.end() for run in runs]
+        self.assertEqual([end[0] for end in ends], [ExitCode.OK, ExitCode.OK])
+        shared = [end[1].count("somebody else") for end in ends]
+        self.assertEqual(sum(shared), 3)
+        self.assertEqual(len(self.harness.state.history), 3)
+
     def test_lost_replies_are_settled(self):
         for seed in range(20):
             harness = CtlHarness(self)
@@ -93,7 +102,8 @@
             run = harness.start("apply", path, seed=seed)
             run.store.lost_reply_rate = 0.3
             harness.time.advance(timedelta(minutes=5))
-            code, _, _ = run.end()
+            code, results, _ = run.end()
+            self.assertNotIn("somebody else", results)
             if code == ExitCode.OK:
                 self.assertEqual(len(harness.state.history), 3)
             else:
@@ -121,6 +131,17 @@
         self.assertEqual(code, ExitCode.UNKNOWN)
         self.assertIn("teams/hotel: it isn't known", problems)
 
+    def test_outage_after_a_lost_reply_is_not_called_unwritten(self):
+        run = self.harness.start("--timeout", "10", "apply", self.path)
+        run.store.loses = lambda what: bool(self.harness.state.history)
+        while not self.harness.state.history:
+            self.harness.time.advance(STEP)
+        # Lost reply and lost reading back, two seconds each.
+        self.harness.time.advance(timedelta(seconds=4.5))
+        run.store.reachable = False
+        self.harness.time.advance(timedelta(minutes=5))
+        self.assertEqual(run.end()[0], ExitCode.UNKNOWN)
+
     def test_get_list_and_delete(self):
         self.harness.run("apply", self.path)
         code, documents = self.harness.run_json("get", "adapters", "tides")
