--- a/libs/platform/src/balsamspoke_platform/__init__.py
+++ b/libs/platform/src/balsamspoke_platform/__init__.py
@@ -1,12 +1,13 @@
 """Clients of the platform and of the backend servers, over HTTP."""
 
 from .clock import ReactorClock
+from .eager_port import listen_eagerly
 from .engine import HttpEngine
 from .event_stream import EventStreamParser
 from .exceptions import EventStreamError, HttpFailure, NotSent, ReplyLost
 from .http import HttpCaller, HttpReply, build_agent
 from .plain_service import HttpPlainService
-from .settled_write import write_settled
+from .settled_write import delete_settled, write_settled
 from .store import HttpObjectStore
 from .vm_list import HttpVmList
 
@@ -24,5 +25,7 @@
     "ReactorClock",
     "ReplyLost",
     "build_agent",
+    "delete_settled",
+    "listen_eagerly",
     "write_settled",
 ]
