--- a/libs/membership/src/balsamspoke_membership/membership.py
+++ b/libs/membership/src/balsamspoke_membership/membership.py
@@ -258,8 +258,10 @@
         fresh = [
             known
             for known in self._known
-            if known.heard_at is not None
+            if known.connected
+            and known.heard_at is not None
             and known.heard_at >= oldest
+            and not self._is_silent(known)
             and known not in news
         ]
         chosen = news[-self._settings.statuses :]
