--- a/libs/fakes/src/balsamspoke_fakes/properties.py
+++ b/libs/fakes/src/balsamspoke_fakes/properties.py
@@ -2,15 +2,19 @@
 
 Import this module in each module of property tests. Without environment variables
 every run draws the same examples. ``BALSAMSPOKE_EXAMPLES`` sets how many times as
-many examples are drawn, ``BALSAMSPOKE_SEED`` draws others.
+many examples are drawn, ``BALSAMSPOKE_SEED`` draws others. A failing example is only
+made smaller if ``BALSAMSPOKE_SHRINK`` is set, since that can take many minutes.
 """
 
 import os
 
-from hypothesis import HealthCheck, core, settings
+from hypothesis import HealthCheck, Phase, core, settings
 
 EXAMPLES_VARIABLE = "BALSAMSPOKE_EXAMPLES"
 SEED_VARIABLE = "BALSAMSPOKE_SEED"
+SHRINK_VARIABLE = "BALSAMSPOKE_SHRINK"
+
+_PHASES = (Phase.explicit, Phase.generate)
 
 
 def examples(count):
@@ -20,6 +24,7 @@
         max_examples=max(1, round(count * factor)),
         derandomize=SEED_VARIABLE not in os.environ,
         database=None,
+        phases=_PHASES + ((Phase.shrink,) if SHRINK_VARIABLE in os.environ else ()),
         deadline=None,
         suppress_health_check=list(HealthCheck),
         print_blob=False,
