Check the offsets and texts that continued streams are resumed with

Cause: a mutation that resumed every stream from its beginning survived: the answer was still whole, as what was delivered already is dropped, but the engine worked twice.

--- a/libs/routing/tests/test_outcomes.py
+++ b/libs/routing/tests/test_outcomes.py
@@ -1,6 +1,7 @@
 import unittest
 from datetime import timedelta
 
+from balsamspoke_types.messages import RunGeneration
 from balsamspoke_types.outcomes import Cause, Ran
 
 from tests.checkers import check_all
@@ -37,6 +38,17 @@
         self.world.advance(20)
         self.assertEqual(trace.ends, [("finish", 60)])
         self.check()
+        orders = {
+            message.attempt: message
+            for _, _, message in self.world.network.log
+            if isinstance(message, RunGeneration)
+        }
+        self.assertEqual(len(orders), 4)
+        offsets = [order.resume_offset for order in orders.values()]
+        self.assertEqual(offsets, sorted(set(offsets)))
+        for order in orders.values():
+            self.assertTrue(trace.text.startswith(order.resume_text))
+            self.assertEqual(order.resume_text.count(" "), order.resume_offset)
 
     def test_busy_replicas_refuse_as_not_run_at_once(self):
         for side in self.world.sides:
