--- a/libs/routing/src/balsamspoke_routing/ledger.py
+++ b/libs/routing/src/balsamspoke_routing/ledger.py
@@ -12,7 +12,7 @@
     WriteOutcomeUnknown,
 )
 from balsamspoke_types.objects import Kind
-from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.defer import inlineCallbacks
 
 from .claims import (
     AnswerSaved,
@@ -30,6 +30,7 @@
     name_record,
 )
 from .settings import LedgerSettings
+from .waits import sleep
 
 
 class IdempotencyLedger:
@@ -216,6 +217,4 @@
 
     def _sleep(self, number):
         delay = self.settings.retry_delay * self._random.random() * number
-        woken = Deferred()
-        self._clock.call_later(delay, woken.callback, None)
-        return woken
+        return sleep(self._clock, delay)
--- a/libs/routing/src/balsamspoke_routing/settings.py
+++ b/libs/routing/src/balsamspoke_routing/settings.py
@@ -126,6 +126,8 @@
         Time between two deletions of old records, over all processes.
     sweep_deletes : int
         Most records deleted in one turn.
+    sweep_pause : timedelta
+        Wait after each deletion, so that the object API serves others as well.
     sweep_pages : int
         Most pages listed in one turn.
     remembered_writes : int
@@ -140,6 +142,7 @@
     progress_time: timedelta = timedelta(seconds=60)
     kept_time: timedelta = timedelta(hours=24)
     sweep_interval: timedelta = timedelta(minutes=10)
-    sweep_deletes: int = 200
+    sweep_deletes: int = 3000
+    sweep_pause: timedelta = timedelta(milliseconds=20)
     sweep_pages: int = 20
     remembered_writes: int = 1000
--- a/libs/routing/src/balsamspoke_routing/sweeper.py
+++ b/libs/routing/src/balsamspoke_routing/sweeper.py
@@ -11,6 +11,7 @@
 from .exceptions import RecordMalformed
 from .records import IdempotencyRecord
 from .settings import LedgerSettings
+from .waits import sleep
 
 TURN_NAME = ".sweep"
 
@@ -123,6 +124,7 @@
                 if left > 0 and self._is_old(found):
                     left -= 1
                     yield self._delete(found)
+                    yield sleep(self._clock, self._settings.sweep_pause)
             if left == 0:
                 # The rest of this page comes at the next turn.
                 break
