--- a/libs/routing/tests/test_outcomes.py
+++ b/libs/routing/tests/test_outcomes.py
@@ -246,6 +246,27 @@
         self.assertEqual(repeat.ends[0][0], "answer")
         self.check()
 
+    def test_cancelled_after_the_hand_over_is_unknown(self):
+        for submit in (self.world.generate, self.world.call):
+            seen = len(self.world.hand_overs)
+            trace = submit()
+            while len(self.world.hand_overs) == seen:
+                self.world.advance(0.001)
+            self.world.runs[-1][0].cancel()
+            refusal = self.get_refusal(trace)
+            self.assertEqual(
+                (refusal.cause, refusal.ran), (Cause.CANCELLED, Ran.UNKNOWN)
+            )
+        self.world.advance(10)
+        self.check()
+
+    def test_cancelled_before_any_attempt_is_not_run(self):
+        trace = self.world.call(key="k")
+        self.world.runs[0][0].cancel()
+        self.world.advance(10)
+        self.assertEqual(self.get_refusal(trace).ran, Ran.NOT_RUN)
+        self.check()
+
     def test_stream_survives_paused_side_process(self):
         trace = self.world.generate(tokens=100)
         self.world.advance(0.3)
