Test who may refuse an attempt, and the deadline with an open attempt

Cause: mutations that let any process refuse an attempt, and that said not run with an attempt open at the deadline, survived.

--- a/libs/routing/tests/test_outcomes.py
+++ b/libs/routing/tests/test_outcomes.py
@@ -1,7 +1,14 @@
 import unittest
 from datetime import timedelta
 
-from balsamspoke_types.messages import RunGeneration
+from balsamspoke_routing import AttemptSettings
+from balsamspoke_types.identifiers import ProcessId
+from balsamspoke_types.messages import (
+    AttemptFenced,
+    AttemptRefused,
+    CallService,
+    RunGeneration,
+)
 from balsamspoke_types.outcomes import Cause, Ran
 
 from tests.checkers import check_all
@@ -301,6 +308,37 @@
         self.assertEqual(trace.ends, [("finish", 100)])
         self.check()
 
+    def test_attempt_that_is_open_at_the_deadline_may_run(self):
+        world = self.world = World(models=1, settings=AttemptSettings(silent_part=1.0))
+        trace = world.generate(deadline=0.1)
+        world.advance(0.0001)
+        world.network.delay = timedelta(seconds=1)
+        world.advance(0.2)
+        refusal = self.get_refusal(trace)
+        self.assertEqual((refusal.cause, refusal.ran), (Cause.DEADLINE, Ran.UNKNOWN))
+        world.advance(5)
+        self.assertEqual(len(world.hand_overs), 1)
+        self.check()
+
+    def test_only_the_process_that_was_sent_it_can_refuse_an_attempt(self):
+        world = self.world
+        for side in self.sides(SERVICE):
+            side._take_order = lambda *_: None
+        trace = world.call(deadline=1.0)
+        world.advance(0.01)
+        ((_, peer, order),) = [
+            sent for sent in world.network.log if isinstance(sent[2], CallService)
+        ]
+        refusal = AttemptRefused(order.attempt, Cause.OVERLOADED)
+        for vm in (peer.vm, "other"):
+            other = ProcessId(vm, 99)
+            world.entries[0].peer_message(other, refusal)
+            world.entries[0].peer_message(other, AttemptFenced(order.attempt, False))
+        self.assertEqual(trace.ends, [])
+        world.entries[0].peer_message(peer, refusal)
+        world.advance(3)
+        self.assertEqual(len(trace.ends), 1)
+
     def test_nothing_can_continue(self):
         trace = self.world.generate(tokens=100)
         self.world.advance(0.3)
--- a/libs/routing/tests/world.py
+++ b/libs/routing/tests/world.py
@@ -200,6 +200,7 @@
             self.directory,
             self.ledger,
             lambda record, version: world.key_valid,
+            world.settings,
         )
         for side in world.sides:
             record = VmRecord(side.vm, "", "", "", "side")
@@ -224,7 +225,8 @@
 class World:
     """Entries, sides, and the history of what callers and backend servers saw."""
 
-    def __init__(self, seed=0, models=3, services=2, entries=2):
+    def __init__(self, seed=0, models=3, services=2, entries=2, settings=None):
+        self.settings = settings
         self.random = random.Random(seed)
         self.time = VirtualTime()
         self.network = FakeNetwork(self.time, self.random)
