Test that a sweeper's turn lasts

Cause: a mutation that let any process delete records at any time survived, since the test swept only once.

--- a/libs/routing/tests/test_sweeper.py
+++ b/libs/routing/tests/test_sweeper.py
@@ -52,10 +52,12 @@
     def test_one_turn_is_bounded_and_one_process_takes_it(self):
         self.add_records(10)
         self.time.advance(DAY)
-        for sweeper in self.sweepers:
-            sweeper.sweep()
-        self.time.advance(timedelta(seconds=1))
-        self.assertEqual(self.count_records(), 6)
+        for minutes, left in ((0, 6), (1, 6), (10, 2), (1, 2)):
+            self.time.advance(timedelta(minutes=minutes))
+            for sweeper in self.sweepers:
+                sweeper.sweep()
+            self.time.advance(timedelta(seconds=1))
+            self.assertEqual(self.count_records(), left)
 
     def test_outage_is_passed_over(self):
         self.add_records(3)
