--- a/libs/routing/tests/test_outcomes.py
+++ b/libs/routing/tests/test_outcomes.py
@@ -1,6 +1,14 @@
 import unittest
 from datetime import timedelta
 
+from balsamspoke_routing import AttemptSettings
+from balsamspoke_types.identifiers import ProcessId
+from balsamspoke_types.messages import (
+    AttemptFenced,
+    AttemptRefused,
+    CallService,
+    RunGeneration,
+)
 from balsamspoke_types.outcomes import Cause, Ran
 
 from tests.checkers import check_all
@@ -37,6 +45,17 @@
         self.world.advance(20)
         self.assertEqual(trace.ends, [("finish", 60)])
         self.check()
+        orders = {
+            message.attempt: message
+            for _, _, message in self.world.network.log
+            if isinstance(message, RunGeneration)
+        }
+        self.assertEqual(len(orders), 4)
+        offsets = [order.resume_offset for order in orders.values()]
+        self.assertEqual(offsets, sorted(set(offsets)))
+        for order in orders.values():
+            self.assertTrue(trace.text.startswith(order.resume_text))
+            self.assertEqual(order.resume_text.count(" "), order.resume_offset)
 
     def test_busy_replicas_refuse_as_not_run_at_once(self):
         for side in self.world.sides:
@@ -234,6 +253,51 @@
         self.assertEqual(repeat.ends[0][0], "answer")
         self.check()
 
+    def test_cancelled_after_the_hand_over_is_unknown(self):
+        for submit in (self.world.generate, self.world.call):
+            seen = len(self.world.hand_overs)
+            trace = submit()
+            while len(self.world.hand_overs) == seen:
+                self.world.advance(0.001)
+            self.world.runs[-1][0].cancel()
+            refusal = self.get_refusal(trace)
+            self.assertEqual(
+                (refusal.cause, refusal.ran), (Cause.CANCELLED, Ran.UNKNOWN)
+            )
+        self.world.advance(10)
+        self.check()
+
+    def test_cancelled_before_any_attempt_is_not_run(self):
+        trace = self.world.call(key="k")
+        self.world.runs[0][0].cancel()
+        self.world.advance(10)
+        self.assertEqual(self.get_refusal(trace).ran, Ran.NOT_RUN)
+        self.check()
+
+    def test_stream_waits_while_every_replica_is_busy(self):
+        trace = self.world.generate(tokens=60)
+        self.world.advance(0.3)
+        for side in self.world.sides:
+            side.busy = True
+            side.fail_running()
+        self.world.advance(4)
+        self.assertEqual(trace.ends, [])
+        for side in self.world.sides:
+            side.busy = False
+        self.world.advance(10)
+        self.assertEqual(trace.ends, [("finish", 60)])
+        self.check()
+
+    def test_stream_does_not_wait_for_ever(self):
+        trace = self.world.generate(tokens=60)
+        self.world.advance(0.3)
+        for side in self.world.sides:
+            side.busy = True
+            side.fail_running()
+        self.world.advance(15)
+        self.assertEqual(self.get_refusal(trace).ran, Ran.UNKNOWN)
+        self.check()
+
     def test_stream_survives_paused_side_process(self):
         trace = self.world.generate(tokens=100)
         self.world.advance(0.3)
@@ -244,6 +308,37 @@
         self.assertEqual(trace.ends, [("finish", 100)])
         self.check()
 
+    def test_attempt_that_is_open_at_the_deadline_may_run(self):
+        world = self.world = World(models=1, settings=AttemptSettings(silent_part=1.0))
+        trace = world.generate(deadline=0.1)
+        world.advance(0.0001)
+        world.network.delay = timedelta(seconds=1)
+        world.advance(0.2)
+        refusal = self.get_refusal(trace)
+        self.assertEqual((refusal.cause, refusal.ran), (Cause.DEADLINE, Ran.UNKNOWN))
+        world.advance(5)
+        self.assertEqual(len(world.hand_overs), 1)
+        self.check()
+
+    def get_calls(self):
+        log = self.world.network.log
+        return [sent[1:] for sent in log if isinstance(sent[2], CallService)]
+
+    def test_only_the_process_that_was_sent_it_can_refuse_an_attempt(self):
+        world = self.world
+        for side in self.sides(SERVICE):
+            side._take_order = lambda *_: None
+        world.call(deadline=1.0)
+        ((peer, order),) = self.get_calls()
+        refusal = AttemptRefused(order.attempt, Cause.OVERLOADED)
+        for vm in (peer.vm, "other"):
+            other = ProcessId(vm, 99)
+            world.entries[0].peer_message(other, refusal)
+            world.entries[0].peer_message(other, AttemptFenced(order.attempt, False))
+        self.assertEqual(len(self.get_calls()), 1)
+        world.entries[0].peer_message(peer, refusal)
+        self.assertEqual(len(self.get_calls()), 2)
+
     def test_nothing_can_continue(self):
         trace = self.world.generate(tokens=100)
         self.world.advance(0.3)
