Withdraw a key whatever else is wrong with the catalogue

An old problem of an untouched object stopped every apply, and even the withdrawal of a key. Only new problems and those of the objects at hand count now; withdraw, issue and get read one object in place of a listing of kinds.

--- a/libs/ctl/src/balsamspoke_ctl/catalogue.py
+++ b/libs/ctl/src/balsamspoke_ctl/catalogue.py
@@ -2,12 +2,12 @@
 
 from dataclasses import dataclass, field
 
-from balsamspoke_types.exceptions import StoreError
+from balsamspoke_types.exceptions import ObjectNotFound, StoreError
 from balsamspoke_types.objects import CATALOGUE_KINDS
 from twisted.internet.defer import inlineCallbacks
 
 from .changes import decode_stored
-from .exceptions import PlatformUnavailable
+from .exceptions import NoSuchItem, PlatformUnavailable
 
 
 @dataclass
@@ -40,7 +40,7 @@
             try:
                 found = yield store.list_page(kind, page)
             except StoreError as error:
-                raise PlatformUnavailable(f"the object API: {error}") from error
+                raise make_unavailable(error) from error
             _add_page(catalogue, found)
             revisions.append(found.revision)
             page = found.next_page
@@ -50,6 +50,25 @@
     return catalogue
 
 
+@inlineCallbacks
+def read_object(store, kind, name):
+    """Return a Deferred of a StoredObject.
+
+    It fails with NoSuchItem or PlatformUnavailable.
+    """
+    try:
+        return (yield store.read(kind, name))
+    except ObjectNotFound as error:
+        raise NoSuchItem(f"{kind.value}/{name} doesn't exist") from error
+    except StoreError as error:
+        raise make_unavailable(error) from error
+
+
+def make_unavailable(error):
+    """Return the PlatformUnavailable for a StoreError."""
+    return PlatformUnavailable(f"the object API is unavailable: {error}")
+
+
 def _add_page(catalogue, page):
     for stored in page.objects:
         key = (stored.kind, stored.name)
--- a/libs/ctl/src/balsamspoke_ctl/changes.py
+++ b/libs/ctl/src/balsamspoke_ctl/changes.py
@@ -104,9 +104,8 @@
         would come of it.
     """
     wanted = _index_files(file_objects)
-    _validate(
-        {**catalogue.values, **{key: f.value for key, f in wanted.items()}}, wanted
-    )
+    values = {key: found.value for key, found in wanted.items()}
+    _validate(catalogue, {**catalogue.values, **values}, wanted)
     changes = [_plan_one(catalogue, key, found) for key, found in wanted.items()]
     return sorted(changes, key=lambda change: CATALOGUE_KINDS.index(change.kind))
 
@@ -120,7 +119,7 @@
         Of a StoredProblem for each object that still needs one of them.
     """
     left = {key: value for key, value in catalogue.values.items() if key not in keys}
-    _validate(left, {})
+    _validate(catalogue, left, {})
     changes = [
         Change(
             Action.DELETE,
@@ -173,12 +172,28 @@
     return Change(action, kind, name, before, found.value, stored)
 
 
-def _validate(values, wanted):
+def _validate(catalogue, values, wanted):
+    """Raise for problems of ``values``, but for old ones of untouched objects."""
+    problems = _find_problems(values)
+    if not problems:
+        return
+    old = {str(error) for error in _find_problems(catalogue.values)}
+    placed = [(_place_problem(error, wanted), str(error) in old) for error in problems]
+    new = [
+        problem
+        for problem, is_old in placed
+        if isinstance(problem, FileProblem) or not is_old
+    ]
+    if new:
+        raise ExceptionGroup("the catalogue would not be valid", new)
+
+
+def _find_problems(values):
     try:
         validate_catalogue(values.values())
     except ExceptionGroup as group:
-        problems = [_place_problem(error, wanted) for error in group.exceptions]
-        raise ExceptionGroup("the catalogue would not be valid", problems) from group
+        return group.exceptions
+    return ()
 
 
 def _place_problem(error, wanted):
--- a/libs/ctl/src/balsamspoke_ctl/fleet.py
+++ b/libs/ctl/src/balsamspoke_ctl/fleet.py
@@ -113,7 +113,7 @@
         try:
             vms = yield self._vm_list.fetch()
         except VmListUnavailable as error:
-            raise PlatformUnavailable(f"the VM list: {error}") from error
+            raise PlatformUnavailable(f"the VM list is unavailable: {error}") from error
         asked = [vm for vm in vms if role in (None, vm.role)]
         places = DeferredSemaphore(PARALLEL_QUESTIONS)
         answers = yield DeferredList(
--- a/libs/ctl/src/balsamspoke_ctl/fleet_commands.py
+++ b/libs/ctl/src/balsamspoke_ctl/fleet_commands.py
@@ -4,7 +4,8 @@
 from balsamspoke_types.objects import Kind
 from twisted.internet.defer import inlineCallbacks
 
-from .exceptions import NoSuchItem, PlatformUnavailable
+from .catalogue import make_unavailable
+from .exceptions import NoSuchItem
 from .exit_codes import ExitCode
 from .object_commands import report_wait
 from .output import format_table
@@ -74,7 +75,7 @@
     try:
         page = yield store.list_page(Kind.TEAM)
     except StoreError as error:
-        raise PlatformUnavailable(f"the object API: {error}") from error
+        raise make_unavailable(error) from error
     return page.revision
 
 
--- a/libs/ctl/src/balsamspoke_ctl/key_commands.py
+++ b/libs/ctl/src/balsamspoke_ctl/key_commands.py
@@ -7,11 +7,10 @@
 from balsamspoke_types.objects import KeyRecord, Kind
 from twisted.internet.defer import inlineCallbacks
 
-from .catalogue import read_catalogue
-from .changes import Action, Change
-from .exceptions import NoSuchItem
+from .catalogue import read_object
+from .changes import Action, Change, decode_stored
 from .exit_codes import ExitCode
-from .object_commands import delete_objects, report_wait
+from .object_commands import report_wait
 
 NAME_RANDOM_BYTES = 4
 
@@ -20,9 +19,7 @@
 def issue(arguments, context):
     """Issue a key: print it once, store only its digest."""
     team = arguments.team
-    catalogue = yield read_catalogue(context.store, (Kind.TEAM,))
-    if (Kind.TEAM, team) not in catalogue.stored:
-        raise NoSuchItem(f"teams/{team} doesn't exist")
+    yield read_object(context.store, Kind.TEAM, team)
     name = arguments.name or f"{team}-{secrets.token_hex(NAME_RANDOM_BYTES)}"
     key = format_key(secrets.token_urlsafe(KEY_RANDOM_BYTES))
     record = KeyRecord(name, team, digest_key(key))
@@ -41,11 +38,16 @@
 @inlineCallbacks
 def withdraw(arguments, context):
     """Withdraw a key by the name of its record."""
-    revision = yield delete_objects(Kind.KEY, [arguments.name], context)
+    name = arguments.name
+    # Nothing refers to a key, so whatever else is wrong can't stop this.
+    stored = yield read_object(context.store, Kind.KEY, name)
+    before = decode_stored(stored)
+    change = Change(Action.DELETE, Kind.KEY, name, before, None, stored)
+    written = yield context.writer.write(change)
     context.output.show(
-        {"withdrawn": arguments.name, "revision": revision},
-        f"{arguments.name} is withdrawn (revision {revision})",
+        {"withdrawn": name, "revision": written.revision},
+        f"{name} is withdrawn (revision {written.revision})",
     )
     if arguments.wait:
-        yield report_wait(context, revision)
+        yield report_wait(context, written.revision)
     return ExitCode.OK
--- a/libs/ctl/src/balsamspoke_ctl/object_commands.py
+++ b/libs/ctl/src/balsamspoke_ctl/object_commands.py
@@ -2,8 +2,8 @@
 
 from twisted.internet.defer import inlineCallbacks, succeed
 
-from .catalogue import Catalogue, read_catalogue
-from .changes import Action, plan_apply, plan_deletion
+from .catalogue import Catalogue, read_catalogue, read_object
+from .changes import Action, decode_stored, plan_apply, plan_deletion
 from .exceptions import NoSuchItem
 from .exit_codes import ExitCode
 from .files import find_kind, read_files
@@ -73,11 +73,9 @@
 def get(arguments, context):
     """Show one object."""
     kind = find_kind(arguments.kind)
-    catalogue = yield read_catalogue(context.store, (kind,))
-    key = (kind, arguments.name)
-    if key not in catalogue.stored:
-        raise NoSuchItem(f"{kind.value}/{arguments.name} doesn't exist")
-    document = describe_object(*key, catalogue.values.get(key), catalogue.stored[key])
+    stored = yield read_object(context.store, kind, arguments.name)
+    value = decode_stored(stored)
+    document = describe_object(kind, arguments.name, value, stored)
     context.output.show(document, format_object(document))
     return ExitCode.OK
 
@@ -108,23 +106,15 @@
 def delete(arguments, context):
     """Delete objects that no other object needs."""
     kind = find_kind(arguments.kind)
-    revision = yield delete_objects(kind, arguments.names, context)
-    if arguments.wait:
-        yield report_wait(context, revision)
-    return ExitCode.OK
-
-
-@inlineCallbacks
-def delete_objects(kind, names, context):
-    """Delete objects; return a Deferred of the revision of the last deletion."""
     catalogue = yield read_catalogue(context.store)
-    keys = [(kind, name) for name in names]
+    keys = [(kind, name) for name in arguments.names]
     for key in keys:
         if key not in catalogue.stored:
             raise NoSuchItem(f"{kind.value}/{key[1]} doesn't exist")
-    changes = plan_deletion(catalogue, keys)
-    revision = yield _write(changes, context)
-    return revision
+    revision = yield _write(plan_deletion(catalogue, keys), context)
+    if arguments.wait:
+        yield report_wait(context, revision)
+    return ExitCode.OK
 
 
 @inlineCallbacks
--- a/libs/ctl/src/balsamspoke_ctl/writing.py
+++ b/libs/ctl/src/balsamspoke_ctl/writing.py
@@ -12,6 +12,7 @@
 )
 from twisted.internet.defer import inlineCallbacks
 
+from .catalogue import make_unavailable
 from .changes import (
     Action,
     decode_stored,
@@ -118,9 +119,9 @@
             except StoreUnavailable as error:
                 failure = error
                 if not is_unsettled:
-                    raise PlatformUnavailable(f"the object API: {error}") from error
+                    raise make_unavailable(error) from error
             except StoreError as error:
-                raise PlatformUnavailable(f"the object API: {error}") from error
+                raise make_unavailable(error) from error
             if self._clock.monotonic() >= deadline:
                 raise WriteUnsettled(change.kind, change.name, failure) from failure
             yield pause(self._clock, SETTLE_INTERVAL)
--- a/libs/ctl/tests/test_objects.py
+++ b/libs/ctl/tests/test_objects.py
@@ -63,6 +63,18 @@
         self.harness.run("apply", self.path)
         self.assertEqual(self.harness.run("apply", path)[0], ExitCode.OK)
 
+    def test_old_problem_elsewhere_stops_no_other_change(self):
+        self.harness.run("apply", self.path)
+        self.harness.run("key", "issue", "hotel", "--name", "k")
+        self.harness.state.put(Kind.TEAM, "odd", b'{"rate": -1, "burst": 1}')
+        more = "- {kind: teams, name: inn, rate: 1, burst: 1}\n"
+        path = self.harness.write(more, "more.yaml")
+        self.assertEqual(self.harness.run("apply", path)[0], ExitCode.OK)
+        self.assertEqual(self.harness.run("key", "withdraw", "k")[0], ExitCode.OK)
+        odd = "- {kind: teams, name: odd, rate: -1, burst: 1}\n"
+        path = self.harness.write(odd, "odd.yaml")
+        self.assertEqual(self.harness.run("apply", path)[0], ExitCode.INVALID)
+
     def test_fields_and_objects_given_twice(self):
         path = self.harness.write(CATALOGUE.replace("  burst", "  rate: 1\n  burst"))
         self.assertIn(":4: rate is given twice", self.harness.run("diff", path)[2])
--- a/libs/platform/src/balsamspoke_platform/store.py
+++ b/libs/platform/src/balsamspoke_platform/store.py
@@ -123,7 +123,7 @@
                 continue
             if reply.status < _FIRST_SERVER_ERROR:
                 return reply
-            failure = StoreUnavailable(f"the object API answered {reply.status}")
+            failure = StoreUnavailable(f"answered {reply.status}")
         raise failure
 
     def _wait_before(self, attempt):
@@ -138,7 +138,7 @@
 
 def _expect_ok(reply):
     if reply.status != _OK:
-        raise StoreUnavailable(f"the object API answered {reply.status}")
+        raise StoreUnavailable(f"answered {reply.status}")
 
 
 def _expect_written(reply, kind, name):
@@ -152,8 +152,8 @@
     if reply.status == _TOO_LARGE:
         raise ObjectTooLarge(place)
     if reply.status >= _FIRST_SERVER_ERROR:
-        raise WriteOutcomeUnknown(f"{place}: the object API answered {reply.status}")
-    raise StoreUnavailable(f"{place}: the object API answered {reply.status}")
+        raise WriteOutcomeUnknown(f"{place}: answered {reply.status}")
+    raise StoreUnavailable(f"{place}: answered {reply.status}")
 
 
 def _read_current(reply, kind, name):
