--- a/libs/ctl/src/balsamspoke_ctl/command.py
+++ b/libs/ctl/src/balsamspoke_ctl/command.py
@@ -62,6 +62,8 @@
     needs = set(parsed.needs)
     if getattr(parsed, "wait", False) or parsed.command == "wait":
         needs.add("vm_list")
+    if parsed.command == "status" and parsed.team:
+        needs.add("object_api")
     missing = [
         f"--{name.replace('_', '-')} or BALSAMSPOKE_{name.upper()}"
         for name in sorted(needs)
--- a/libs/ctl/src/balsamspoke_ctl/exit_codes.py
+++ b/libs/ctl/src/balsamspoke_ctl/exit_codes.py
@@ -20,7 +20,10 @@
     NOT_FOUND = 4, "no such object, process or request"
     CONFLICT = 5, "somebody else changed an object meanwhile; both sides are shown"
     UNKNOWN = 6, "a write's reply is lost and couldn't be settled; run it again"
-    UNAVAILABLE = 7, "the object API or the VM list doesn't answer; nothing written"
+    UNAVAILABLE = (
+        7,
+        "the platform or a process doesn't answer; only what is shown as written was",
+    )
     NOT_IN_FORCE = 8, "not in force everywhere within the timeout"
 
 
--- a/libs/ctl/src/balsamspoke_ctl/fleet_commands.py
+++ b/libs/ctl/src/balsamspoke_ctl/fleet_commands.py
@@ -1,15 +1,16 @@
 """Commands on the fleet: status, wait, explain."""
 
 from balsamspoke_types.exceptions import StoreError
-from balsamspoke_types.objects import Kind
+from balsamspoke_types.objects import Adapter, KeyRecord, Kind
 from twisted.internet.defer import inlineCallbacks
 
-from .catalogue import make_unavailable
+from .catalogue import make_unavailable, read_catalogue, read_object
+from .changes import decode_stored
 from .exceptions import NoSuchItem
 from .exit_codes import ExitCode
 from .object_commands import report_wait
 from .output import format_table
-from .presentation import format_object
+from .presentation import describe_object, format_object
 
 _STATUS_HEADINGS = (
     "vm",
@@ -28,12 +29,12 @@
 
 @inlineCallbacks
 def status(arguments, context):
-    """Show the processes of the fleet, or where one adapter is loaded."""
+    """Show the processes of the fleet, or what concerns a team or adapter."""
     answers = yield context.fleet.ask_all("/status")
+    if arguments.team:
+        return (yield _show_team(arguments.team, answers, context))
     if arguments.adapter:
-        answers = [
-            answer for answer in answers if _holds(answer.document, arguments.adapter)
-        ]
+        answers = [answer for answer in answers if _holds(answer, arguments.adapter)]
         if not answers:
             raise NoSuchItem(f"no replica reports {arguments.adapter} as loaded")
     rows = [_make_row(answer) for answer in answers]
@@ -79,6 +80,49 @@
     return page.revision
 
 
+@inlineCallbacks
+def _show_team(name, answers, context):
+    stored = yield read_object(context.store, Kind.TEAM, name)
+    catalogue = yield read_catalogue(context.store, (Kind.ADAPTER, Kind.KEY))
+    adapters = {
+        value.name for value in catalogue.values.values() if _is_adapter_of(value, name)
+    }
+    keys = [
+        value.name
+        for value in catalogue.values.values()
+        if isinstance(value, KeyRecord) and value.team == name
+    ]
+    loaded = {
+        answer.vm.vm: [
+            adapter
+            for adapter in _list_loaded(answer)
+            if _get_name(adapter) in adapters
+        ]
+        for answer in answers
+    }
+    document = {
+        **describe_object(Kind.TEAM, name, decode_stored(stored), stored),
+        "adapters": len(adapters),
+        "keys": keys,
+        "loaded": {vm: found for vm, found in loaded.items() if found},
+    }
+    context.output.show(document, format_object(document))
+    return ExitCode.OK
+
+
+def _is_adapter_of(value, team):
+    return isinstance(value, Adapter) and value.team == team
+
+
+def _list_loaded(answer):
+    replica = (answer.document or {}).get("replica") or {}
+    return replica.get("adapters") or ()
+
+
+def _get_name(adapter_and_version):
+    return adapter_and_version.rpartition(":")[0]
+
+
 def _describe(answer):
     return {
         "vm": answer.vm.vm,
@@ -95,7 +139,7 @@
         return [*row, "doesn't answer", "-", "-", "-", "-"]
     replica = document.get("replica") or {}
     running = replica.get("running", document.get("running_requests", "-"))
-    adapters = replica.get("adapters") or []
+    adapters = _list_loaded(answer)
     shown = ",".join(adapters[:_LONGEST_LIST_OF_ADAPTERS])
     if len(adapters) > _LONGEST_LIST_OF_ADAPTERS:
         shown += f" and {len(adapters) - _LONGEST_LIST_OF_ADAPTERS} more"
@@ -109,6 +153,5 @@
     ]
 
 
-def _holds(document, adapter):
-    loaded = ((document or {}).get("replica") or {}).get("adapters") or ()
-    return any(adapter in (name, name.rpartition(":")[0]) for name in loaded)
+def _holds(answer, adapter):
+    return any(adapter in (name, _get_name(name)) for name in _list_loaded(answer))
--- a/libs/ctl/tests/test_fleet.py
+++ b/libs/ctl/tests/test_fleet.py
@@ -73,6 +73,19 @@
         self.assertEqual(code, ExitCode.UNAVAILABLE)
         self.assertIn("doesn't answer", results)
 
+    def test_status_of_a_team(self):
+        self.harness.run("apply", self.path)
+        self.harness.run("key", "issue", "hotel", "--name", "k")
+        self.harness.add_vm("s", role="side", service="porto")
+        replica = {"adapters": ["tides:1", "other:1"]}
+        self.documents["s"] = make_status(0, replica=replica)
+        code, (document,) = self.harness.run_json("status", "--team", "hotel")
+        self.assertEqual(code, ExitCode.OK)
+        self.assertEqual((document["adapters"], document["keys"]), (1, ["k"]))
+        self.assertEqual(document["loaded"], {"s": ["tides:1"]})
+        code = self.harness.run("status", "--team", "none")[0]
+        self.assertEqual(code, ExitCode.NOT_FOUND)
+
     def test_vm_list_outage(self):
         self.harness.vms.available = False
         self.assertEqual(self.harness.run("status")[0], ExitCode.UNAVAILABLE)
