Close a reply that is given up, keep repeated headers, test pausing

Found by reading: a body that was given up at its deadline left its connection open for good, since Twisted's readBody can't abort through the transport that a response has; of a header that came twice only the last was kept; an error raised by a sink was taken for a bad stream. Replies are bounded at 16 MB.

--- a/libs/platform/src/balsamspoke_platform/__init__.py
+++ b/libs/platform/src/balsamspoke_platform/__init__.py
@@ -5,7 +5,7 @@
 from .engine import HttpEngine
 from .event_stream import EventStreamParser
 from .exceptions import EventStreamError, HttpFailure, NotSent, ReplyLost
-from .http import HttpCaller, HttpReply, build_agent
+from .http import HttpCaller, HttpReply, build_agent, read_body
 from .plain_service import HttpPlainService
 from .settled_write import delete_settled, write_settled
 from .store import HttpObjectStore
@@ -27,5 +27,6 @@
     "build_agent",
     "delete_settled",
     "listen_eagerly",
+    "read_body",
     "write_settled",
 ]
--- a/libs/platform/src/balsamspoke_platform/generation.py
+++ b/libs/platform/src/balsamspoke_platform/generation.py
@@ -10,10 +10,10 @@
 )
 from balsamspoke_types.ports import Generation
 from twisted.internet.protocol import Protocol
-from twisted.web.client import readBody
 
 from .event_stream import EventStreamParser
 from .exceptions import EventStreamError, HttpFailure, NotSent
+from .http import read_body
 
 CANCEL_TIMEOUT = timedelta(seconds=2)
 _OK = 200
@@ -89,21 +89,20 @@
             self._reader.transport.resumeProducing()
 
     def take_event(self, data):
-        """Take the data of one event, as bytes."""
-        document = orjson.loads(data)
-        choices = document.get("choices")
-        if not choices:
-            return
-        choice = choices[0]
-        delta = choice.get("delta")
-        text = choice.get("text") if delta is None else delta.get("content")
+        """Take the data of one event, as bytes.
+
+        Raises
+        ------
+        EventStreamError
+            If it isn't a chunk of an answer.
+        """
+        text, count, reason = _read_chunk(data)
         if text:
-            count = len(choice.get("token_ids") or ()) or 1
             offset = self._offset
             self._offset += count
             self._sink.add_tokens(offset, text, count)
-        if choice.get("finish_reason"):
-            self._reason = choice["finish_reason"]
+        if reason:
+            self._reason = reason
 
     def take_end(self, is_whole):
         """Take the end of the stream; ``is_whole`` tells whether it said so."""
@@ -128,7 +127,7 @@
 
     def _read_response(self, response):
         if response.code != _OK:
-            return readBody(response).addCallback(self._refuse, response.code)
+            return read_body(response).addCallback(self._refuse, response.code)
         self._reader = _StreamReader(self)
         response.deliverBody(self._reader)
         if self._ended:
@@ -166,8 +165,8 @@
                 generation.take_event(event)
                 if generation.has_ended:
                     return
-        except (EventStreamError, ValueError, KeyError, AttributeError) as error:
-            generation.fail(BackendLost(f"not an answer: {error!r}"))
+        except EventStreamError as error:
+            generation.fail(BackendLost(str(error)))
             self.stop()
             return
         if self._parser.done:
@@ -179,3 +178,26 @@
     def stop(self):
         if self.transport is not None:
             self.transport.loseConnection()
+
+
+def _read_chunk(data):
+    """Return text, number of tokens and finish reason of an event's data."""
+    try:
+        document = orjson.loads(data)
+        choices = document.get("choices")
+        if not choices:
+            _expect_no_error(document)
+            return "", 0, None
+        choice = choices[0]
+        delta = choice.get("delta")
+        text = choice.get("text") if delta is None else delta.get("content")
+        count = len(choice.get("token_ids") or ()) or 1
+        return text, count, choice.get("finish_reason")
+    except (ValueError, TypeError, AttributeError) as error:
+        raise EventStreamError(f"not a chunk of an answer: {error!r}") from error
+
+
+def _expect_no_error(document):
+    if "error" in document:
+        text = str(document["error"])[:_LONGEST_TEXT_OF_ERROR]
+        raise EventStreamError(f"the engine failed in mid-answer: {text}")
--- a/libs/platform/src/balsamspoke_platform/http.py
+++ b/libs/platform/src/balsamspoke_platform/http.py
@@ -3,13 +3,18 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from twisted.internet.defer import CancelledError, inlineCallbacks, succeed
+from twisted.internet.defer import (
+    CancelledError,
+    Deferred,
+    inlineCallbacks,
+    succeed,
+)
 from twisted.internet.error import ConnectError, ConnectingCancelledError
+from twisted.internet.protocol import Protocol
 from twisted.web.client import (
     Agent,
     HTTPConnectionPool,
-    PartialDownloadError,
-    readBody,
+    ResponseDone,
 )
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IBodyProducer
@@ -22,6 +27,7 @@
 # request is seldom sent into a closing one.
 IDLE_CONNECTION_LIFETIME = timedelta(seconds=20)
 CONNECTIONS_KEPT = 64
+LARGEST_REPLY_BYTES = 16_000_000
 
 
 def build_agent(reactor, connections=CONNECTIONS_KEPT):
@@ -64,12 +70,27 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpReply:
-    """A whole reply; header names are in lower case."""
+    """A whole reply.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : tuple of tuple of str
+        Names in lower case, and values, in their order.
+    body : bytes
+        Content.
+    """
 
     status: int
-    headers: dict
+    headers: tuple[tuple[str, str], ...]
     body: bytes
 
+    def find_header(self, name):
+        """Return the last value of a header, named in lower case, or None."""
+        values = [value for found, value in self.headers if found == name]
+        return values[-1] if values else None
+
 
 class HttpCaller:
     """Make calls to one server.
@@ -125,8 +146,7 @@
         deadline = self.reactor.seconds() + timeout.total_seconds()
         opened = self.open(method, path, headers, body)
         response = yield self._limit(opened, deadline)
-        reading = readBody(response).addErrback(_raise_failure)
-        content = yield self._limit(reading, deadline)
+        content = yield self._limit(read_body(response), deadline)
         return HttpReply(response.code, _read_headers(response), content)
 
     def _limit(self, waiting, deadline):
@@ -141,19 +161,58 @@
         return waiting.addBoth(stop)
 
 
+def read_body(response):
+    """Return a Deferred of the whole body of an IResponse.
+
+    It fails with ReplyLost if the body is cut short or too large, or if the
+    Deferred is cancelled, which closes the connection.
+    """
+    reader = _BodyReader()
+    response.deliverBody(reader)
+    return reader.whole
+
+
+class _BodyReader(Protocol):
+    def __init__(self):
+        self.whole = Deferred(lambda _: self._give_up("no whole reply in time"))
+        self._pieces = []
+        self._size = 0
+
+    def dataReceived(self, data):
+        if self.whole.called:
+            return
+        self._pieces.append(data)
+        self._size += len(data)
+        if self._size > LARGEST_REPLY_BYTES:
+            self._give_up(f"the reply is over {LARGEST_REPLY_BYTES} bytes")
+
+    def connectionLost(self, reason):
+        if self.whole.called:
+            return
+        if reason.check(ResponseDone):
+            self.whole.callback(b"".join(self._pieces))
+        else:
+            self.whole.errback(ReplyLost("the reply is cut short"))
+
+    def _give_up(self, problem):
+        self._pieces.clear()
+        self.transport.loseConnection()
+        if not self.whole.called:
+            self.whole.errback(ReplyLost(problem))
+
+
 def _read_headers(response):
-    return {
-        name.decode("latin-1").lower(): values[-1].decode("latin-1")
+    return tuple(
+        (name.decode("latin-1").lower(), value.decode("latin-1"))
         for name, values in response.headers.getAllRawHeaders()
-    }
+        for value in values
+    )
 
 
 def _raise_failure(failure):
     error = failure.value
     if isinstance(error, (ConnectError, ConnectingCancelledError)):
         raise NotSent(f"no connection: {error}") from error
-    if isinstance(error, PartialDownloadError):
-        raise ReplyLost("the reply is cut short") from error
     if isinstance(error, CancelledError):
         raise ReplyLost("no reply in time") from error
     raise ReplyLost(f"no reply: {error!r}") from error
--- a/libs/platform/src/balsamspoke_platform/plain_service.py
+++ b/libs/platform/src/balsamspoke_platform/plain_service.py
@@ -64,7 +64,7 @@
         reply = yield self._ask(
             request.method, request.path, self._timeout, headers, request.body or None
         )
-        kept = _drop_connection_headers(reply.headers.items())
+        kept = _drop_connection_headers(reply.headers)
         return ServiceResponse(reply.status, kept, reply.body)
 
     @inlineCallbacks
--- a/libs/platform/src/balsamspoke_platform/store.py
+++ b/libs/platform/src/balsamspoke_platform/store.py
@@ -157,6 +157,6 @@
 
 
 def _read_current(reply, kind, name):
-    if "etag" not in reply.headers:
+    if reply.find_header("etag") is None:
         return None
     return StoredObject(kind, name, read_version(reply), reply.body)
--- a/libs/platform/src/balsamspoke_platform/store_format.py
+++ b/libs/platform/src/balsamspoke_platform/store_format.py
@@ -17,8 +17,8 @@
         If there is none.
     """
     try:
-        return int(reply.headers["etag"].strip('"'))
-    except (KeyError, ValueError) as error:
+        return int(reply.find_header("etag").strip('"'))
+    except (AttributeError, ValueError) as error:
         raise StoreUnavailable("a reply without a version") from error
 
 
--- a/libs/standins/src/balsamspoke_standins/load_run.py
+++ b/libs/standins/src/balsamspoke_standins/load_run.py
@@ -3,11 +3,16 @@
 from datetime import timedelta
 
 import orjson
-from balsamspoke_platform import EventStreamParser, HttpFailure
+from balsamspoke_platform import (
+    EventStreamError,
+    EventStreamParser,
+    HttpFailure,
+    read_body,
+)
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.protocol import Protocol
 from twisted.internet.task import deferLater
-from twisted.web.client import ResponseDone, readBody
+from twisted.web.client import ResponseDone
 
 from .load_plan import GenerationCall
 from .load_report import TeamTally
@@ -91,13 +96,13 @@
         try:
             response = yield opening
             if response.code >= _FIRST_ERROR:
-                content = yield readBody(response)
+                content = yield read_body(response)
                 tally.refused[_read_cause(content, response.code)] += 1
                 return
             response.deliverBody(reader)
             yield reader.finished
             self._judge(call.document, reader, tally)
-        except Exception as error:
+        except HttpFailure as error:
             tally.broken[type(error).__name__] += 1
         finally:
             if expiry.active():
@@ -168,8 +173,12 @@
             self.transport.loseConnection()
 
     def dataReceived(self, data):
-        for event in self._parser.feed(data):
-            self._take(orjson.loads(event))
+        try:
+            for event in self._parser.feed(data):
+                self._take(orjson.loads(event))
+        except (EventStreamError, ValueError, KeyError, AttributeError):
+            self.cause = "not-an-answer"
+            self.stop()
 
     def connectionLost(self, reason):
         self.is_whole = self._parser.done and bool(reason.check(ResponseDone))
--- a/libs/standins/tests/memory_network.py
+++ b/libs/standins/tests/memory_network.py
@@ -15,6 +15,33 @@
 MOST_EXCHANGES = 1000
 
 
+class _Transport(iosim.FakeTransport):
+    """A transport that holds what comes while its reader has paused it."""
+
+    def __init__(self, protocol, isServer):
+        super().__init__(protocol, isServer)
+        self._paused = False
+        self._held = b""
+
+    def pauseProducing(self):
+        self._paused = True
+
+    def resumeProducing(self):
+        self._paused = False
+        held, self._held = self._held, b""
+        if held:
+            super().bufferReceived(held)
+
+    def bufferReceived(self, data):
+        if self._paused:
+            self._held += data
+        else:
+            super().bufferReceived(data)
+
+    def abortConnection(self):
+        self.loseConnection()
+
+
 @implementer(IStreamClientEndpoint)
 class _MemoryEndpoint:
     def __init__(self, network, port):
@@ -27,11 +54,9 @@
             return fail(ConnectionRefusedError())
         client, server = factory.buildProtocol(None), site.buildProtocol(None)
         transports = (
-            iosim.FakeTransport(server, isServer=True),
-            iosim.FakeTransport(client, isServer=False),
+            _Transport(server, isServer=True),
+            _Transport(client, isServer=False),
         )
-        for transport in transports:
-            transport.abortConnection = transport.loseConnection
         pump = iosim.connect(server, transports[0], client, transports[1])
         self._network.pumps.append(pump)
         return succeed(client)
--- a/libs/standins/tests/test_clients.py
+++ b/libs/standins/tests/test_clients.py
@@ -1,8 +1,11 @@
 import unittest
+from datetime import timedelta
 
 import orjson
-from balsamspoke_platform import HttpPlainService, HttpVmList
+from balsamspoke_platform import HttpPlainService, HttpVmList, ReplyLost
+from balsamspoke_platform.http import LARGEST_REPLY_BYTES
 from balsamspoke_standins.service import ServiceResource
+from balsamspoke_standins.serving import Answer
 from balsamspoke_standins.vm_list import VmListResource
 from balsamspoke_types.exceptions import (
     BackendLost,
@@ -48,6 +51,31 @@
         self.assertIn(["x-request-id", "r1"], sent)
         self.assertNotIn(["connection", "close"], sent)
 
+    def test_headers_that_come_twice_are_kept(self):
+        def answer(request):
+            request.responseHeaders.addRawHeader("Set-Cookie", "a=1")
+            request.responseHeaders.addRawHeader("Set-Cookie", "b=2")
+            return Answer()
+
+        self.resource.routes["GET", "cookies"] = answer
+        headers = self.call("GET", "/cookies").headers
+        cookies = [value for name, value in headers if name == "set-cookie"]
+        self.assertEqual(cookies, ["a=1", "b=2"])
+
+    def test_answer_that_stops_half_way_or_never_ends(self):
+        def answer(request, size):
+            request.write(bytes(int(size)))
+
+        self.resource.routes["GET", "half"] = answer
+        caller = self.network.add(PORT, self.resource)
+        timeout = timedelta(seconds=1)
+        for size in (10, LARGEST_REPLY_BYTES + 1):
+            with self.assertRaises(ReplyLost):
+                self.network.get(caller.call("GET", f"/half/{size}", timeout), 2)
+            self.network.run(0.01)
+            connections = [pump.client.transport for pump in self.network.pumps]
+            self.assertTrue(all(end.disconnected for end in connections))
+
     def test_lost_answer_and_no_connection(self):
         self.resource.settings.lose_answers = True
         with self.assertRaises(BackendLost):
--- a/libs/standins/tests/test_engine.py
+++ b/libs/standins/tests/test_engine.py
@@ -156,6 +156,33 @@
         self.network.run(0.1)
         self.assertIsInstance(sink.error, BackendRefused)
 
+    def test_pause_holds_back_the_answer_and_resume_completes_it(self):
+        self.load()
+        generation, sink = self.generate(max_tokens=20)
+        self.network.run(0.2)
+        generation.pause()
+        self.network.run(0.1)
+        count = len(sink.chunks)
+        self.network.run(1)
+        self.assertEqual(len(sink.chunks), count)
+        generation.resume()
+        self.network.run(1.5)
+        self.assertEqual(sink.text, make_text("tides:3", BODY, 0, 20))
+        self.assertEqual(sink.end, ("length", 20))
+
+    def test_stream_that_is_no_answer_is_lost(self):
+        events = (b"[]", b"{", b'{"choices": [7]}', b'{"error": {"message": "full"}}')
+        for number, event in enumerate(events):
+
+            def answer(request, *segments, event=event):
+                request.write(b"data: " + event + b"\n\ndata: [DONE]\n\n")
+
+            self.resource.routes["POST", "v1"] = answer
+            _, sink = self.generate(f"r{number}")
+            self.network.run(0.1)
+            self.assertIsInstance(sink.error, BackendLost)
+        self.assertIn("full", str(sink.error))
+
     def test_lowest_priority_number_runs_first(self):
         self.load()
         for name, priority in (("a", 0), ("b", 0), ("late", 2), ("soon", 1)):
