--- a/libs/standins/src/balsamspoke_standins/serving.py
+++ b/libs/standins/src/balsamspoke_standins/serving.py
@@ -191,5 +191,7 @@
     listening = listen_eagerly(reactor, int(port), site, LISTEN_BACKLOG, host)
     address = listening.getHost()
     log.startLogging(sys.stderr, setStdout=False)
-    print(f"{name} listens on {address.host}:{address.port}", flush=True)
+    line = f"{name} listens on {address.host}:{address.port}"
+    # Said from the running loop, when a signal already ends it as it should.
+    reactor.callLater(0, lambda: print(line, flush=True))
     reactor.run()
