Keep an eager connection from nesting when a producer writes

A pull producer writes each time it is asked, and sending at once asked it again from within: 5000 pieces ended in a RecursionError (test written first). What a producer writes while the connection sends now waits for the loop. 57 tests pass.

--- a/libs/platform/src/balsamspoke_platform/eager_port.py
+++ b/libs/platform/src/balsamspoke_platform/eager_port.py
@@ -10,13 +10,16 @@
 
 class _EagerServer(tcp.Server):
     _is_registered = False
+    _is_sending = False
 
     def startWriting(self):
-        if self._is_registered or self.disconnecting or not self._tempDataBuffer:
+        # A producer that writes while this sends would nest without end.
+        must_wait = self._is_registered or self._is_sending or self.disconnecting
+        if must_wait or not self._tempDataBuffer:
             self._register()
             return
         # On an error the loop tries again, and tells the protocol of it.
-        failed = self.doWrite() is not None
+        failed = self._send()
         if failed or self.dataBuffer or self._tempDataBuffer:
             self._register()
 
@@ -25,6 +28,13 @@
             self._is_registered = False
             super().stopWriting()
 
+    def _send(self):
+        self._is_sending = True
+        try:
+            return self.doWrite() is not None
+        finally:
+            self._is_sending = False
+
     def _register(self):
         self._is_registered = True
         super().startWriting()
--- a/libs/platform/tests/test_eager_port.py
+++ b/libs/platform/tests/test_eager_port.py
@@ -75,3 +75,21 @@
         self.server.loseConnection()
         self.assertEqual(self.reactor.writers, {self.server})
         self.assertEqual(self.read(), b"a")
+
+    def test_producer_that_writes_when_asked_does_not_nest(self):
+        class Producer:
+            left = 5000
+
+            def resumeProducing(producer):
+                producer.left -= 1
+                if producer.left:
+                    self.server.write(b"x")
+                else:
+                    self.server.unregisterProducer()
+
+        self.server.registerProducer(Producer(), False)
+        found = self.read()
+        while self.reactor.writers:
+            self.assertIsNone(self.server.doWrite())
+            found += self.read()
+        self.assertEqual(found, b"x" * 4999)
