--- a/libs/limits/src/balsamspoke_limits/settings.py
+++ b/libs/limits/src/balsamspoke_limits/settings.py
@@ -59,9 +59,9 @@
     holders: int = 8
     grant_lifetime: timedelta = timedelta(milliseconds=50)
     ask_timeout: timedelta = timedelta(milliseconds=15)
-    confirmation_lifetime: timedelta = timedelta(seconds=15)
+    confirmation_lifetime: timedelta = timedelta(seconds=8)
     vm_list_lag: timedelta = timedelta(seconds=5)
-    vm_list_gap: timedelta = timedelta(seconds=5)
+    vm_list_gap: timedelta = timedelta(seconds=3)
     refresh_interval: timedelta = timedelta(seconds=30)
     retry_interval: timedelta = timedelta(seconds=2)
     hand_back_timeout: timedelta = timedelta(seconds=3)
--- a/libs/limits/src/balsamspoke_limits/shares.py
+++ b/libs/limits/src/balsamspoke_limits/shares.py
@@ -123,8 +123,11 @@
         self._is_busy = True
         reading = self._store.read(Kind.BUDGET, self.name)
         reading.addCallbacks(self._take_read, self._take_read_failure)
-        spread = 0.5 + self._random.random()
-        self._next_read = now + self._settings.refresh_interval * spread
+        # Units that others free are found soon by a holder that has none.
+        settings = self._settings
+        has_units = self.ledger.units > 0
+        interval = settings.refresh_interval if has_units else settings.retry_interval
+        self._next_read = now + interval * (0.5 + self._random.random())
 
     def _take_read(self, found):
         self._is_busy = False
--- a/libs/limits/tests/test_fleet.py
+++ b/libs/limits/tests/test_fleet.py
@@ -101,6 +101,16 @@
         self.check()
         self.assertEqual(sum(s.units for s in self.usable_shares(0)), 8)
 
+    def test_list_alone_does_not_confirm_after_a_gap(self):
+        self.fleet.run(seconds(10))
+        self.fleet.isolate(0)
+        self.fleet.run(QUICK.reclaim_wait + seconds(20))
+        self.fleet.hide("vm-0", False)
+        self.fleet.run(seconds(10))
+        # The others left it its part again, which it can't claim yet.
+        self.check(units=16)
+        self.assertEqual(self.usable_shares(0), [])
+
     def test_holder_without_both_services_stops(self):
         self.fleet.run(seconds(10))
         entry = self.fleet.find_entry(0)
