--- a/libs/limits/tests/test_fleet.py
+++ b/libs/limits/tests/test_fleet.py
@@ -1,7 +1,8 @@
 import unittest
 from datetime import timedelta
 
-from balsamspoke_limits import Limits
+from balsamspoke_limits import Limits, Reservation
+from balsamspoke_types.messages import ReserveTokens
 from balsamspoke_types.outcomes import Cause
 
 from .fleet import QUICK, Fleet, make_limits
@@ -59,6 +60,53 @@
         self.fleet.time.advance(seconds(1))
         self.assertEqual(len(self.fleet.uses), 2)
 
+    def test_late_grant_is_not_used_and_goes_back(self):
+        self.fleet.time.advance(seconds(30))
+        entry = self.fleet.find_entry(0)
+        entry.call("small", 190, 190, seconds(1))
+        entry.clock.pause()
+        self.fleet.time.advance(2 * QUICK.grant_lifetime)
+        entry.clock.resume()
+        self.assertEqual(entry.refusals[0][1].cause, Cause.BUDGET_UNAVAILABLE)
+        self.fleet.time.advance(seconds(1))
+        entry.call("small", 190, 190, seconds(1))
+        self.fleet.time.advance(seconds(1))
+        self.assertEqual([use.amount for use in self.fleet.uses], [190])
+
+    def test_doubled_messages_take_and_return_tokens_once(self):
+        self.fleet.time.advance(seconds(30))
+        self.fleet.network.double_rate = 1.0
+        entry = self.fleet.find_entry(0)
+        for _ in range(2):
+            entry.call("small", 190, 100, seconds(0.1))
+            self.fleet.time.advance(seconds(0.2))
+        self.fleet.time.advance(seconds(1))
+        # 90 came back once, so 98 and what was refilled were there.
+        self.assertEqual([use.amount for use in self.fleet.uses], [190])
+        self.assertEqual(len(entry.refusals), 1)
+
+    def test_repeated_ask_takes_once(self):
+        self.fleet.time.advance(seconds(30))
+        asker = self.fleet.find_entry(1).process
+        budgets = self.fleet.find_entry(0).budgets
+        for _ in range(2):
+            budgets.peer_message(asker, ReserveTokens(1000, "small", 20))
+        # Of the 66 tokens at this entry, 46 are left.
+        reserved = budgets.reserve("small", 46)
+        self.assertTrue(reserved.called)
+        self.assertIsInstance(reserved.result, Reservation)
+
+    def test_reservation_is_settled_once(self):
+        self.fleet.time.advance(seconds(30))
+        budgets = self.fleet.find_entry(0).budgets
+        reservation = budgets.reserve("small", 60).result
+        reservation.settle(60)
+        reservation.settle(0)
+        refused = budgets.reserve("small", 190)
+        refused.addErrback(lambda failure: failure.value.cause)
+        self.fleet.time.advance(seconds(0.1))
+        self.assertEqual(refused.result, Cause.OVER_LIMIT)
+
     def test_refusals_name_their_cause(self):
         entry = self.fleet.find_entry(0)
         entry.call("nobody", 1, 1, seconds(1))
--- a/libs/limits/tests/test_shares.py
+++ b/libs/limits/tests/test_shares.py
@@ -84,6 +84,7 @@
         self.assertEqual(self.share.ledger.units, 20)
 
     def test_read_alone_changes_no_units(self):
+        self.wanted = 60
         self.put(GroupRecord({HERE: 60}))
         self.store.reachable = False
         read = self.state.objects[Kind.BUDGET, "group-0"]
