--- a/libs/limits/src/balsamspoke_limits/budgets.py
+++ b/libs/limits/src/balsamspoke_limits/budgets.py
@@ -225,6 +225,9 @@
             return BudgetRefused(Cause.STOPPING)
         if limits is None:
             return BudgetRefused(Cause.NOT_ALLOWED)
+        # The exact capacity is only worked out for requests that come near it.
+        if 2 * amount <= limits.burst:
+            return None
         if amount > find_usable_limits(limits, self._lifetime).burst:
             return BudgetRefused(Cause.LARGER_THAN_BURST)
         return None
