--- a/libs/limits/src/balsamspoke_limits/shares.py
+++ b/libs/limits/src/balsamspoke_limits/shares.py
@@ -132,9 +132,12 @@
     def _take_read(self, found):
         self._is_busy = False
         # A read may be older than what is known, and changes no units.
-        if self._version is None or found.version > self._version:
-            self._learn(found)
-        self.pulse(self._clock.monotonic(), hurry=True)
+        now = self._clock.monotonic()
+        is_newer = self._version is None or found.version > self._version
+        if is_newer and not self._learn(found):
+            self._wait(now)
+            return
+        self.pulse(now, hurry=True)
 
     def _take_read_failure(self, failure):
         self._is_busy = False
@@ -176,12 +179,18 @@
         )
 
     def _settle(self, found, sent_at):
-        """Take what the object API certainly held after a moment."""
+        """Take what the object API certainly held after a moment.
+
+        Returns
+        -------
+        bool
+            Whether it could be read.
+        """
         self._is_busy = False
         now = self._clock.monotonic()
         if not self._learn(found):
             self._wait(now)
-            return
+            return False
         self._is_settled = True
         self._settled_units = self.record.held_by(self._process)
         self.reclaimer.note_written(self.record, now)
@@ -189,6 +198,7 @@
         if self._process not in self.record.marks:
             self._confirmed_at = sent_at
             self._list_counts = True
+        return True
 
     def _take_write_failure(self, failure, sent_at):
         self._is_busy = False
@@ -212,7 +222,8 @@
             self._use(0)
             self._wait(now)
             return
-        self._settle(current, sent_at)
+        if not self._settle(current, sent_at):
+            return
         delay = _CONFLICT_DELAY * (0.5 + self._random.random())
         self._next_call = now + delay
         self._clock.call_later(delay, self._pulse_now)
--- a/libs/limits/tests/test_shares.py
+++ b/libs/limits/tests/test_shares.py
@@ -91,6 +91,16 @@
         self.share._take_read(read)
         self.assertEqual(self.share.ledger.units, 40)
 
+    def test_broken_record_is_read_again_at_a_slow_pace(self):
+        self.state.put(Kind.BUDGET, "group-0", b"[]")
+        calls = self.store.calls
+        self.wanted = 60
+        for _ in range(100):
+            self.share.pulse(self.clock.monotonic())
+            self.time.advance(timedelta(milliseconds=100))
+        self.assertLess(self.store.calls - calls, 20)
+        self.assertEqual(self.share.ledger.units, 40)
+
 
 class LedgerTest(unittest.TestCase):
     def test_grants_used_late_fit_with_those_used_at_once(self):
