--- /dev/null
+++ b/benchmarks/catalogue_spread.py
@@ -0,0 +1,213 @@
+"""Measure how soon a change is in force on every process, and the traffic."""
+
+import argparse
+import random
+import statistics
+from collections import Counter
+from datetime import timedelta
+
+from balsamspoke_catalogue import CatalogueKeeper, encode_object
+from balsamspoke_fakes import (
+    FakeNetwork,
+    FakeStore,
+    FakeTransport,
+    FakeVmList,
+    StoreState,
+    VirtualClock,
+    VirtualTime,
+    VmListState,
+)
+from balsamspoke_membership import Membership
+from balsamspoke_types.identifiers import ProcessId
+from balsamspoke_types.messages import CatalogueDelta, PullCatalogue
+from balsamspoke_types.objects import CATALOGUE_KINDS, KeyRecord, Kind
+from balsamspoke_types.ports import PeerHandler, VmRecord
+
+SIDE_KINDS = (Kind.MODEL, Kind.SERVICE, Kind.KEY)
+STEP = timedelta(milliseconds=100)
+LIMIT = timedelta(seconds=30)
+QUIET = timedelta(seconds=30)
+STATUS_BYTES = 40
+MESSAGE_BYTES = 24
+
+
+class Node(PeerHandler):
+    """The catalogue and the membership of one process."""
+
+    def __init__(self, fleet, record, watching):
+        self.fleet = fleet
+        self.record = record
+        self.id = ProcessId(record.vm, fleet.random.getrandbits(48))
+        self.peers = set()
+        clock = VirtualClock(fleet.time)
+        self.store = FakeStore(fleet.state, clock)
+        self.transport = FakeTransport(fleet.network, self.id, clock)
+        self.transport.bind(self)
+        kinds = SIDE_KINDS if record.role == "side" else CATALOGUE_KINDS
+        self.keeper = CatalogueKeeper(
+            self.id,
+            clock,
+            random.Random(fleet.random.random()),
+            self.store,
+            self.transport.send,
+            kinds=kinds,
+        )
+        self.keeper.set_watching(watching)
+        self.membership = Membership(
+            self.id,
+            record.vm,
+            clock,
+            random.Random(fleet.random.random()),
+            FakeVmList(fleet.vms, clock),
+            self.transport,
+            None,
+            lambda: self.keeper.view.revision,
+            lambda: None,
+            lambda records, asked_at: None,
+            lambda other: fleet.is_wanted(record, other),
+            self.keeper.note_revision,
+        )
+        self.keeper.start()
+        self.membership.start()
+
+    def peer_connected(self, peer):
+        """Tell both."""
+        self.peers.add(peer)
+        self.membership.peer_connected(peer)
+        self._set_peers()
+
+    def peer_disconnected(self, peer):
+        """Tell both."""
+        self.peers.discard(peer)
+        self.membership.peer_disconnected(peer)
+        self.keeper.peer_disconnected(peer)
+        self._set_peers()
+
+    def peer_message(self, peer, message):
+        """Give it to the one that it is for."""
+        if not self.membership.peer_message(peer, message):
+            self.keeper.peer_message(peer, message)
+
+    def _set_peers(self):
+        entries = [peer for peer in self.peers if peer.vm.startswith("entry")]
+        self.keeper.set_peers(tuple(sorted(entries)))
+
+
+class Fleet:
+    """Entry processes that know each other, and side processes that know some."""
+
+    def __init__(self, entries, sides, watchers, seed):
+        self.random = random.Random(seed)
+        self.time = VirtualTime()
+        self.network = FakeNetwork(self.time, random.Random(seed))
+        self.network.log = Traffic()
+        self.state = StoreState()
+        self.vms = VmListState(self.time)
+        self._wanted = {}
+        records = [
+            VmRecord(f"entry{number:04}", "", "", "", "entry")
+            for number in range(entries)
+        ] + [
+            VmRecord(f"side{number:04}", "", "", "", "side") for number in range(sides)
+        ]
+        self.vms.set(records)
+        names = [record.vm for record in records[:entries]]
+        for record in records:
+            chosen = self.random.sample(names, min(len(names), 12))
+            self._wanted[record.vm] = set(chosen)
+        self.nodes = [
+            Node(self, record, place < watchers) for place, record in enumerate(records)
+        ]
+
+    def is_wanted(self, record, other):
+        """Whether a process keeps a connection to another."""
+        if record.role == other.role == "entry":
+            return True
+        return record.role == "side" and other.vm in self._wanted[record.vm]
+
+    def count_behind(self, version):
+        """Return how many processes don't have the key's version."""
+        return sum(
+            node.keeper.view.version_of(Kind.KEY, "k") != version for node in self.nodes
+        )
+
+
+class Traffic:
+    """Count the bytes of the messages in place of keeping them."""
+
+    def __init__(self):
+        self.bytes = Counter()
+        self.messages = Counter()
+
+    def append(self, sent):
+        """Count one message at both ends."""
+        sender, receiver, message = sent
+        size = estimate_bytes(message)
+        for process in (sender, receiver):
+            self.bytes[process] += size
+            self.messages[process] += 1
+
+
+def estimate_bytes(message):
+    """Return about the bytes of a message on the wire."""
+    if isinstance(message, PullCatalogue):
+        return MESSAGE_BYTES + len(message.after) + 40
+    if isinstance(message, CatalogueDelta):
+        values = sum(len(o.name) + len(o.value) + 20 for o in message.objects)
+        return MESSAGE_BYTES + len(message.more) + values
+    return MESSAGE_BYTES + STATUS_BYTES * (1 + len(message.others))
+
+
+def measure(entries, sides, watchers, seed):
+    """Return seconds till the last has a change, and the traffic of each process."""
+    fleet = Fleet(entries, sides, watchers, seed)
+    key = KeyRecord("k", "t", "0" * 64)
+    fleet.state.put(Kind.KEY, "k", encode_object(key))
+    fleet.time.advance(timedelta(seconds=15))
+    fleet.network.log = traffic = Traffic()
+    calls = sum(node.store.calls for node in fleet.nodes)
+    fleet.time.advance(QUIET)
+    calls = (sum(node.store.calls for node in fleet.nodes) - calls) / (
+        QUIET.total_seconds()
+    )
+    changed = fleet.state.put(Kind.KEY, "k", b"", deleted=True)
+    begun = fleet.time.elapsed
+    while fleet.count_behind(changed.version) and fleet.time.elapsed < begun + LIMIT:
+        fleet.time.advance(STEP)
+    spread = (fleet.time.elapsed - begun).total_seconds()
+    rates = [
+        traffic.bytes[node.id] / (QUIET.total_seconds() + spread)
+        for node in fleet.nodes
+    ]
+    messages = [
+        traffic.messages[node.id] / (QUIET.total_seconds() + spread)
+        for node in fleet.nodes
+    ]
+    return spread, max(rates), statistics.median(messages), calls
+
+
+def main():
+    """Print one line for each size of the fleet."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--sizes", default="30/0,100/0,340/0")
+    parser.add_argument("--watchers", type=int, default=12)
+    arguments = parser.parse_args()
+    print("entries/sides  spread s: median max  bytes/s max  messages/s  calls/s")
+    for size in arguments.sizes.split(","):
+        entries, sides = (int(part) for part in size.split("/"))
+        rows = [
+            measure(entries, sides, arguments.watchers, seed)
+            for seed in range(arguments.seeds)
+        ]
+        spreads, rates, messages, calls = zip(*rows)
+        print(
+            f"{size:13}  {statistics.median(spreads):16.1f} {max(spreads):3.1f}"
+            f"  {max(rates):11.0f}  {statistics.median(messages):10.1f}"
+            f"  {statistics.median(calls):7.2f}",
+            flush=True,
+        )
+
+
+if __name__ == "__main__":
+    main()
