--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -58,6 +58,19 @@
         found = {m.process.vm: m for m in self.a.membership.members()}["b"]
         self.assertEqual((found.process, found.state), (new.id, LIVE))
 
+    def test_hearsay_of_an_earlier_boot_does_not_bring_it_back(self):
+        old = self.fleet.processes["b"].id
+        self.fleet.kill("b")
+        new = self.fleet.start("b")
+        self.fleet.advance(0.5)
+        self.fleet.kill("b")
+        self.fleet.advance(5)
+        c = ProcessStatus(self.fleet.processes["c"].id, False, 0)
+        hearsay = ProcessStatus(old, False, 0)
+        self.a.membership.peer_message(c.process, Heartbeat(1, c, (hearsay,)))
+        found = {m.process.vm: m for m in self.a.membership.members()}["b"]
+        self.assertEqual((found.process, found.state), (new.id, SUSPECT))
+
     def test_killed_process_is_suspect_and_gone_with_its_vm(self):
         self.fleet.kill("b")
         self.fleet.advance(5)
