--- a/libs/catalogue/src/balsamspoke_catalogue/codec.py
+++ b/libs/catalogue/src/balsamspoke_catalogue/codec.py
@@ -8,6 +8,7 @@
 import enum
 from dataclasses import MISSING, fields
 from datetime import timedelta
+from functools import cache
 
 import orjson
 from balsamspoke_types.objects import (
@@ -32,6 +33,12 @@
 }
 KIND_OF_CLASS = {cls: kind for kind, cls in CLASS_OF_KIND.items()}
 
+_MEMBER_TYPES = {
+    tuple[int, ...]: int,
+    tuple[str, ...]: str,
+    tuple[ServiceCall, ...]: ServiceCall,
+}
+
 
 def encode_object(obj):
     """Return the value that the object API holds for a catalogue object."""
@@ -87,14 +94,9 @@
 def _decode_class(cls, members, where, strict, given):
     if not isinstance(members, dict):
         raise CatalogueError(where, "not a JSON object", "write {...}")
-    known = {field.name: field for field in fields(cls) if field.name not in given}
-    unknown = sorted(str(name) for name in members if name not in known)
-    if strict and unknown:
-        raise CatalogueError(
-            f"{where}.{unknown[0]}",
-            "unknown field",
-            f"remove it, or use one of {', '.join(known)}",
-        )
+    known = _get_fields(cls)
+    if strict:
+        _refuse_unknown(members, known, where)
     values = dict(given)
     for name, field in known.items():
         if name in members:
@@ -105,21 +107,37 @@
     return cls(**values)
 
 
+@cache
+def _get_fields(cls):
+    # A call's members have no name of their own in the object API.
+    is_named = cls in KIND_OF_CLASS
+    return {
+        field.name: field
+        for field in fields(cls)
+        if not (is_named and field.name == "name")
+    }
+
+
+def _refuse_unknown(members, known, where):
+    unknown = sorted(str(name) for name in members if name not in known)
+    if unknown:
+        raise CatalogueError(
+            f"{where}.{unknown[0]}",
+            "unknown field",
+            f"remove it, or use one of {', '.join(known)}",
+        )
+
+
 def _decode_field(type_, value, where, strict):
     if type_ is timedelta:
         return _decode_duration(value, where)
     if type_ is PriorityClass:
         return _decode_enum(PriorityClass, value, where)
-    if type_ == tuple[int, ...]:
-        return _decode_tuple(int, value, where)
-    if type_ == tuple[str, ...]:
-        return _decode_tuple(str, value, where)
-    if type_ == tuple[ServiceCall, ...]:
-        _check_list(value, where)
-        return tuple(
-            _decode_class(ServiceCall, member, f"{where}[{index}]", strict, {})
-            for index, member in enumerate(value)
-        )
+    member_type = _MEMBER_TYPES.get(type_)
+    if member_type is ServiceCall:
+        return _decode_calls(value, where, strict)
+    if member_type is not None:
+        return _decode_tuple(member_type, value, where)
     return _decode_plain(type_, value, where)
 
 
@@ -139,6 +157,14 @@
         raise CatalogueError(where, f"{value!r}", f"use one of {allowed}") from error
 
 
+def _decode_calls(value, where, strict):
+    _check_list(value, where)
+    return tuple(
+        _decode_class(ServiceCall, member, f"{where}[{index}]", strict, {})
+        for index, member in enumerate(value)
+    )
+
+
 def _decode_tuple(type_, value, where):
     _check_list(value, where)
     return tuple(
