List soon when lost events can't be had again

Cause: a watch that ended as expired went on from the newest revision, so an event lost before stayed lost until the next listing, up to 4 h later. Ruled out: beginning from where the failed watch began; the events are gone.

--- a/libs/catalogue/src/balsamspoke_catalogue/keeper.py
+++ b/libs/catalogue/src/balsamspoke_catalogue/keeper.py
@@ -78,6 +78,7 @@
             self.view,
             self._settings,
             self._take,
+            self._sweep_soon,
             self._list_now,
         )
         self._listing = None
@@ -212,6 +213,9 @@
             self._sweep_at = now + interval * self._random.uniform(0.75, 1.0)
             self._start_listing(self._settings.sweep_pause)
 
+    def _sweep_soon(self):
+        self._sweep_at = min(self._sweep_at, self._clock.monotonic())
+
     def _list_now(self):
         now = self._clock.monotonic()
         if self._listing is not None and self._listing.is_urgent:
@@ -229,6 +233,9 @@
         )
         self._listing.start()
 
-    def _end_listing(self, _is_whole):
+    def _end_listing(self, is_whole):
         self._listing = None
+        if not is_whole:
+            retry_at = self._clock.monotonic() + self._settings.watch_period
+            self._sweep_at = min(self._sweep_at, retry_at)
         self._choose_source()
--- a/libs/catalogue/src/balsamspoke_catalogue/watching.py
+++ b/libs/catalogue/src/balsamspoke_catalogue/watching.py
@@ -20,22 +20,28 @@
         Intervals.
     take : callable
         Called with each StoredObject.
+    on_gap : callable
+        Called when events since an earlier revision can't be had again, so that
+        one which was lost can be found only by a listing.
     on_lost : callable
         Called when the object API no longer has the events since the view's
         revision, so that it must be listed.
     """
 
-    def __init__(self, clock, random_source, store, view, settings, take, on_lost):
+    def __init__(
+        self, clock, random_source, store, view, settings, take, on_gap, on_lost
+    ):
         self._clock = clock
         self._random = random_source
         self._store = store
         self._view = view
         self._settings = settings
         self._take = take
+        self._on_gap = on_gap
         self._on_lost = on_lost
         self._watch = None
         self._timer = None
-        self._begun_at = 0
+        self._begun_from = 0
         self._failures = 0
         self._expired = False
         self.running = False
@@ -57,9 +63,9 @@
         if not self.running:
             return
         self._drop()
-        self._begun_at = self._view.revision
+        self._begun_from = revision
         self._timer = self._clock.call_later(
-            self._settings.watch_period, self._begin, self._begun_at
+            self._settings.watch_period, self._begin, self._view.revision
         )
         # A failure may be reported before the call returns.
         watch = _Watching(self)
@@ -90,6 +96,7 @@
                 self._on_lost()
                 return
             self._expired = True
+            self._on_gap()
         delay = self._settings.retry_delay * 2**self._failures
         self._failures = min(self._failures + 1, 8)
         delay = min(delay, self._settings.maximum_retry_delay)
@@ -98,7 +105,8 @@
         )
 
     def _begin_again(self):
-        self._begin(self._view.revision if self._expired else self._begun_at)
+        # A watch that failed may have told nothing, so it begins where it began.
+        self._begin(self._view.revision if self._expired else self._begun_from)
 
 
 class _Watching:
--- a/libs/catalogue/tests/test_keeper.py
+++ b/libs/catalogue/tests/test_keeper.py
@@ -1,5 +1,7 @@
 import unittest
+from datetime import timedelta
 
+from balsamspoke_catalogue import CatalogueSettings
 from balsamspoke_types.objects import Kind
 
 from .fleet import Fleet, make_adapter
@@ -56,6 +58,30 @@
         }
         self.assertEqual(spent, {"a": 3, "b": 0, "c": 0, "d": 0, "side": 0})
 
+    def test_lost_event_is_found_although_the_next_watch_fails(self):
+        store = self.fleet.processes["a"].store
+        store.lost_event_rate = 1.0
+        self.fleet.put(make_adapter("lost"), Kind.ADAPTER)
+        store.lost_event_rate = 0.0
+        self.fleet.put(make_adapter("seen"), Kind.ADAPTER)
+        self.fleet.advance(1)
+        store.reachable = False
+        store.end_watches()
+        self.fleet.advance(10)
+        store.reachable = True
+        # A listing that failed is tried again after a watch period.
+        self.fleet.advance(20 + 7)
+        self.assertEqual(self.fleet.find_stale(), [])
+
+    def test_revision_in_a_heartbeat_is_enough_to_pull(self):
+        fleet = Fleet(settings=CatalogueSettings(pull_interval=timedelta(minutes=9)))
+        fleet.start("a", watching=True)
+        fleet.start("b")
+        fleet.advance(10)
+        fleet.put(make_adapter("new"), Kind.ADAPTER)
+        fleet.advance(1.1)
+        self.assertEqual(fleet.find_stale(), [])
+
     def test_lost_event_is_found_by_watching_again(self):
         self.fleet.processes["a"].store.lost_event_rate = 1.0
         self.fleet.put(make_adapter("lost"), Kind.ADAPTER)
