--- a/libs/membership/src/balsamspoke_membership/membership.py
+++ b/libs/membership/src/balsamspoke_membership/membership.py
@@ -290,7 +290,8 @@
         if status.process.vm == self.vm_id:
             return False
         known = self._known.get(status.process)
-        if known is None:
+        is_new = known is None
+        if is_new:
             present = self._known.get_present(status.process.vm)
             if present is not None and not self._is_silent(present):
                 return False
@@ -301,7 +302,7 @@
         if not status.leaving:
             at = self._clock.monotonic() - self._settings.recent
             known.passed_on_at = max(known.passed_on_at or at, at)
-        return self._merge(known, status)
+        return self._merge(known, status) or is_new
 
     def _merge(self, known, status):
         is_news = status.leaving and not known.leaving
--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -71,6 +71,16 @@
         found = {m.process.vm: m for m in self.a.membership.members()}["b"]
         self.assertEqual((found.process, found.state), (new.id, SUSPECT))
 
+    def test_lost_connection_is_a_hint_and_no_verdict(self):
+        b = self.fleet.processes["b"].id
+        self.fleet.network.cut_between("a", "b")
+        self.a.membership.peer_disconnected(b)
+        self.assertEqual(self.a.states()["b"], LIVE)
+        self.fleet.advance(2.5)
+        self.assertEqual(self.a.states()["b"], LIVE)
+        self.fleet.advance(1.6)
+        self.assertEqual(self.a.states()["b"], SUSPECT)
+
     def test_killed_process_is_suspect_and_gone_with_its_vm(self):
         self.fleet.kill("b")
         self.fleet.advance(5)
