--- a/libs/membership/src/balsamspoke_membership/membership.py
+++ b/libs/membership/src/balsamspoke_membership/membership.py
@@ -208,6 +208,7 @@
 
     def _probe(self):
         self._forgive_after_pause()
+        self._probed_at = self._clock.monotonic()
         self._timers["probe"] = self._clock.call_later(
             self._settings.probe_interval, self._probe
         )
@@ -225,15 +226,15 @@
 
     def _forgive_after_pause(self):
         now = self._clock.monotonic()
-        late = self._probed_at is not None and (
-            now - self._probed_at >= self._settings.suspect_after
-        )
+        before = self._probed_at
+        after = self._settings.suspect_after
+        if before is None or now - before < after:
+            return
+        # This process was paused; the answers may wait to be read.
         self._probed_at = now
-        if late:
-            # This process was paused; the answers may wait to be read.
-            for known in self._known:
-                if known.connected and known.probed_at is not None:
-                    known.probed_at = now
+        for known in self._known:
+            if known.probed_at is not None and before - known.probed_at < after:
+                known.probed_at = now
 
     def _tell_all(self):
         for known in self._known:
@@ -264,7 +265,7 @@
             and not self._is_silent(known)
             and known not in news
         ]
-        chosen = news[-self._settings.statuses :]
+        chosen = news[max(0, len(news) - self._settings.statuses) :]
         room = min(self._settings.statuses - len(chosen), len(fresh))
         chosen += self._random.sample(fresh, room)
         return tuple(
@@ -329,6 +330,7 @@
         return last is None or now - last >= after + self._settings.recent
 
     def _update(self):
+        self._forgive_after_pause()
         now = self._clock.monotonic()
         for process, since in list(self._leaving_news.items()):
             if now - since >= self._settings.missing_margin:
--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -1,7 +1,7 @@
 import unittest
 from datetime import timedelta
 
-from balsamspoke_membership import MemberState
+from balsamspoke_membership import MembershipSettings, MemberState
 from balsamspoke_types.identifiers import ProcessId
 from balsamspoke_types.messages import Heartbeat, HeartbeatAnswer, ProcessStatus
 from balsamspoke_types.ports import VmState
@@ -108,6 +108,17 @@
         self.assertEqual(set(self.a.states().values()), {LIVE})
         self.assertEqual(self.a.changes, changes)
 
+    def test_probe_that_owes_an_answer_is_forgiven_after_a_pause(self):
+        self.fleet.network.loss_rate = 1.0
+        self.fleet.advance(1.1)
+        self.a.clock.pause()
+        self.fleet.network.loss_rate = 0.0
+        self.fleet.advance(60)
+        changes = self.a.changes
+        self.a.clock.resume()
+        self.fleet.advance(5)
+        self.assertEqual(self.a.changes, changes)
+
     def test_list_outage_changes_nothing(self):
         self.fleet.vms.available = False
         self.fleet.advance(120)
@@ -128,3 +139,34 @@
         c = ProcessStatus(self.fleet.processes["c"].id, False, 0)
         self.a.membership.peer_message(c.process, Heartbeat(1, c, (unknown,)))
         self.assertNotIn("x", self.a.states())
+
+
+class LargerFleetTest(unittest.TestCase):
+    def start(self, statuses):
+        settings = MembershipSettings(probes=1, statuses=statuses)
+        fleet = Fleet("abcdefghijkl", settings=settings)
+        fleet.advance(5)
+        return fleet
+
+    def find_unaware(self, fleet):
+        return [
+            vm
+            for vm, process in fleet.processes.items()
+            if vm != "a" and process.states()["a"] is not LEAVING
+        ]
+
+    def test_lost_announcement_is_repeated(self):
+        fleet = self.start(statuses=0)
+        fleet.network.loss_rate = 1.0
+        fleet.processes["a"].membership.announce_leaving()
+        fleet.network.loss_rate = 0.0
+        self.assertEqual(len(self.find_unaware(fleet)), 11)
+        fleet.advance(1.1)
+        self.assertEqual(self.find_unaware(fleet), [])
+
+    def test_leaving_is_passed_on_first(self):
+        fleet = self.start(statuses=1)
+        fleet.network.cut_between("a", "cdefghijkl")
+        fleet.processes["a"].membership.announce_leaving()
+        fleet.advance(6)
+        self.assertEqual(self.find_unaware(fleet), [])
