--- a/libs/replica/src/balsamspoke_replica/loader.py
+++ b/libs/replica/src/balsamspoke_replica/loader.py
@@ -339,7 +339,7 @@
         self._slots.pop(slot.adapter, None)
         if _is_conflict(result):
             self._on_fenced()
-        elif result is not None:
+        elif result is not None and not result.check(BackendRefused):
             self._on_doubt(result)
         self._on_change()
 
