--- a/benchmarks/policy_replay.py
+++ b/benchmarks/policy_replay.py
@@ -156,13 +156,18 @@
         live = {index: self.loads[index] for index in self.replicas}
         if avoid in live and record.tries and len(live) > 1:
             del live[avoid]
-        index = self.router.choose(arrival.adapter, live, self._now())
+        holders = [
+            index
+            for index in live
+            if arrival.adapter in self.replicas[index].report().adapters
+        ]
+        index = self.router.choose(arrival.adapter, live, self._now(), holders)
         record.tries += 1
         self.numbers += 1
         attempt = AttemptId(ENTRY, self.numbers)
         self.open[attempt] = (record, index)
         self.loads[index] += 1
-        if arrival.adapter not in self.replicas[index].report().adapters:
+        if index not in holders:
             record.stalled = True
             key = (index, arrival.adapter)
             self.waiting.setdefault(key, []).append((record, self._now()))
@@ -246,6 +251,7 @@
             "requests": len(self.records),
             "unfinished": sum(not record.done for record in self.records),
             "loads_per_second": self.load_count / SECONDS,
+            "distinct_adapters": len({a.adapter for a in self.trace}),
             "stalled": len(stalls),
             "stall_p50": _quantile(stalls, 0.5),
             "stall_p95": _quantile(stalls, 0.95),
--- a/benchmarks/policy_routing.py
+++ b/benchmarks/policy_routing.py
@@ -12,7 +12,7 @@
     """Choose a replica for a request."""
 
     @abstractmethod
-    def choose(self, adapter, loads, now):
+    def choose(self, adapter, loads, now, holders):
         """Return an index.
 
         Parameters
@@ -23,6 +23,8 @@
             Requests outstanding at each live replica.
         now : float
             Seconds.
+        holders : list of int
+            Live replicas that reported the adapter as loaded.
         """
 
 
@@ -32,7 +34,7 @@
     def __init__(self):
         self._turn = 0
 
-    def choose(self, adapter, loads, now):
+    def choose(self, adapter, loads, now, holders):
         """Return the next live replica."""
         self._turn += 1
         live = sorted(loads)
@@ -42,7 +44,7 @@
 class LeastLoaded(Router):
     """Take the replica with the fewest requests."""
 
-    def choose(self, adapter, loads, now):
+    def choose(self, adapter, loads, now, holders):
         """Return the least loaded replica."""
         return min(loads, key=lambda index: (loads[index], index))
 
@@ -50,7 +52,7 @@
 class Rendezvous(Router):
     """Take the replica that hashes highest with the adapter."""
 
-    def choose(self, adapter, loads, now):
+    def choose(self, adapter, loads, now, holders):
         """Return the adapter's replica."""
         return rank_replicas(adapter, loads)[0]
 
@@ -62,11 +64,14 @@
         self._batch_size = batch_size
         self._popularity = {}
 
-    def choose(self, adapter, loads, now):
-        """Return a replica among as many as the adapter's popularity asks for."""
+    def choose(self, adapter, loads, now, holders):
+        """Return a holder, or one of as many as the adapter's popularity asks for."""
         width = 1 + int(self._count(adapter, now) / WIDTH_REQUESTS)
+        ready = [index for index in holders if loads[index] < self._batch_size]
+        if len(ready) >= width:
+            return min(ready, key=loads.get)
         ranked = rank_replicas(adapter, loads)
-        chosen = min(ranked[:width], key=loads.get)
+        chosen = min(ranked[: width + 1], key=loads.get)
         if loads[chosen] < self._batch_size * SPILL_FACTOR:
             return chosen
         return min(ranked, key=loads.get)
