--- a/benchmarks/policy_routing.py
+++ b/benchmarks/policy_routing.py
@@ -4,7 +4,7 @@
 from abc import ABC, abstractmethod
 
 HALF_LIFE_SECONDS = 20.0
-WIDTH_REQUESTS = 30.0
+WIDTH_REQUESTS = 90.0
 SPILL_FACTOR = 1.5
 
 
--- a/libs/replica/tests/test_engine.py
+++ b/libs/replica/tests/test_engine.py
@@ -2,7 +2,12 @@
 from datetime import timedelta
 
 from balsamspoke_fakes import VirtualClock
-from balsamspoke_replica import EngineRestarted, HoldershipLost, SlotHeld
+from balsamspoke_replica import (
+    EngineRestarted,
+    HoldershipLost,
+    LoadFailed,
+    SlotHeld,
+)
 from balsamspoke_types.identifiers import ProcessId
 from balsamspoke_types.messages import (
     AttemptFailed,
@@ -50,10 +55,20 @@
         attempt = bench.run(tokens=6, credit=2)
         bench.advance(1000)
         self.assertEqual(len(bench.find_tokens(attempt)), 2)
+        self.assertEqual(bench.engine.running[str(attempt)].offset, 2)
         bench.tell(CreditTokens(attempt, 100))
         bench.advance(1000)
         self.assertEqual(len(bench.find_tokens(attempt)), 6)
 
+    def test_versions_loaded_side_by_side_are_told_apart(self):
+        bench = Bench().start_engine()
+        attempts = {bench.run(adapter(1, number)): number for number in (1, 2)}
+        bench.advance(2000)
+        self.assertEqual(len(bench.engine.loaded), 2)
+        for attempt, number in attempts.items():
+            text = f"adapter-1:{number}/2/0 "
+            self.assertEqual(bench.find_tokens(attempt)[0], (0, text))
+
     def test_resumed_answer_goes_on_at_its_offset(self):
         bench = Bench().start_engine()
         attempt = bench.run(tokens=6, resume_offset=4, resume_text="x")
@@ -270,6 +285,25 @@
         bench.advance(2000)
         self.assertIsInstance(bench.find(attempt)[0], GenerationFinished)
 
+    def test_failed_loads_wait_longer_each_time(self):
+        bench = Bench(load_tries=4).start_engine()
+        bench.engine.failing.add(adapter(1))
+        bench.run(adapter(1))
+        bench.advance(5000)
+        waits = [e.wait for e in bench.events if isinstance(e, LoadFailed)]
+        self.assertEqual(len(waits), 4)
+        for number, wait in enumerate(waits):
+            longest = milliseconds(250) * 2**number
+            self.assertTrue(longest / 2 <= wait <= longest)
+
+    def test_failing_load_keeps_its_back_off(self):
+        bench = Bench(load_tries=100).start_engine()
+        bench.engine.failing.add(adapter(1))
+        bench.run(adapter(1))
+        bench.advance(3000)
+        failed = [e for e in bench.events if isinstance(e, LoadFailed)]
+        self.assertLess(len(failed), 6)
+
     def test_engine_down_moves_what_is_queued(self):
         bench = Bench().start_engine()
         bench.engine.up = False
