--- a/libs/daemon/src/balsamspoke_daemon/endpoints.py
+++ b/libs/daemon/src/balsamspoke_daemon/endpoints.py
@@ -1,9 +1,12 @@
 """Listening ports over TCP, with TLS if the settings say so."""
 
+from balsamspoke_platform import listen_eagerly
 from OpenSSL import SSL, crypto
 from twisted.internet.ssl import CertificateOptions
 from twisted.protocols.tls import TLSMemoryBIOFactory
 
+BACKLOG_CONNECTIONS = 1024
+
 
 class RenewedCertificate:
     """Make TLS contexts from files, again whenever the files change.
@@ -56,4 +59,6 @@
     if certificate is not None:
         certificate.getContext()
         factory = TLSMemoryBIOFactory(certificate, False, factory)
-    return reactor.listenTCP(endpoint.port, factory, interface=endpoint.host)
+    return listen_eagerly(
+        reactor, endpoint.port, factory, BACKLOG_CONNECTIONS, endpoint.host
+    )
