--- a/benchmarks/policy_replay.py
+++ b/benchmarks/policy_replay.py
@@ -320,15 +320,15 @@
 
 def run_one(job):
     """Run one replay; return its job and measures."""
-    policy, seed, deployment, fault = job
-    return job, Replay(policy, seed, RATES[deployment], fault).run()
+    policy, seed, deployment, fault, factor = job
+    return job, Replay(policy, seed, RATES[deployment] * factor, fault).run()
 
 
 def print_table(results):
     """Print median and spread of each measure for each policy."""
     names = [name for name, value in results[0][1].items() if type(value) is not dict]
     groups = {}
-    for (policy, _, deployment, fault), measures in results:
+    for (policy, _, deployment, fault, _), measures in results:
         groups.setdefault((deployment, fault or "flood", policy), []).append(measures)
     for group, found in groups.items():
         print("\n" + " ".join(group) + f" ({len(found)} seeds)")
@@ -353,12 +353,13 @@
     parser.add_argument("--faults", action="store_true")
     parser.add_argument("--deployment", choices=RATES, action="append")
     parser.add_argument("--policy", choices=POLICIES, action="append")
+    parser.add_argument("--load", type=float, default=1.0, help="factor of the rate")
     parser.add_argument("--output")
     options = parser.parse_args()
     seeds = FINAL_SEEDS if options.final else SEEDS
     faults = FAULTS if options.faults else (None,)
     jobs = [
-        (policy, seed, deployment, fault)
+        (policy, seed, deployment, fault, options.load)
         for deployment in options.deployment or RATES
         for fault in faults
         for policy in options.policy or POLICIES
--- a/benchmarks/policy_routing.py
+++ b/benchmarks/policy_routing.py
@@ -5,7 +5,7 @@
 
 HALF_LIFE_SECONDS = 20.0
 WIDTH_REQUESTS = 90.0
-SPILL_FACTOR = 1.5
+SPILL_FACTOR = 4
 
 
 class Router(ABC):
