--- a/libs/daemon/src/balsamspoke_daemon/logs.py
+++ b/libs/daemon/src/balsamspoke_daemon/logs.py
@@ -6,6 +6,7 @@
 
 import orjson
 from balsamspoke_node import CatalogueChanged, Observer, RequestEnded, TokensGap
+from balsamspoke_replica import RequestRefused, RequestStarted
 from balsamspoke_types.keys import hide_keys
 from loguru import logger
 
@@ -15,7 +16,7 @@
 ROTATION_BYTES = 50_000_000
 KEPT_FILES = 3
 
-_FREQUENT = (CatalogueChanged, RequestEnded)
+_FREQUENT = (CatalogueChanged, RequestEnded, RequestRefused, RequestStarted)
 
 
 def set_up_logs(settings, process):
--- a/libs/daemon/src/balsamspoke_daemon/metrics.py
+++ b/libs/daemon/src/balsamspoke_daemon/metrics.py
@@ -1,6 +1,7 @@
 """Histograms and counters by OpenTelemetry, served in the Prometheus format."""
 
 from balsamspoke_node import Observer, RequestEnded, TokensGap
+from balsamspoke_replica import LoadEnded, RequestRefused, RequestStarted
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
@@ -44,6 +45,13 @@
         self._tokens = meter.create_histogram(
             "balsamspoke_generated_tokens", description="Tokens of an answer."
         )
+        self._queue = meter.create_histogram(
+            "balsamspoke_queue_seconds",
+            description="Arrival at a replica to its start.",
+        )
+        self._load = meter.create_histogram(
+            "balsamspoke_adapter_load_seconds", description="Order to load to its end."
+        )
         self._refusals = meter.create_counter(
             "balsamspoke_refusals", description="Refused requests by cause."
         )
@@ -51,17 +59,37 @@
             "balsamspoke_events", description="Other events by name."
         )
         self._team_labels = {}
+        self._handlers = {
+            TokensGap: self._note_gap,
+            RequestEnded: self._note_end,
+            RequestStarted: self._note_start,
+            RequestRefused: self._note_refusal,
+            LoadEnded: self._note_load,
+        }
 
     def observe(self, event):
         """Take an event."""
-        if isinstance(event, TokensGap):
-            labels = {"team": self._label(event.team)}
-            self._between_tokens.record(event.gap.total_seconds(), labels)
-        elif isinstance(event, RequestEnded):
-            self._note_end(event)
+        handle = self._handlers.get(type(event))
+        if handle is not None:
+            handle(event)
         else:
             self._events.add(1, {"event": type(event).__name__})
 
+    def _note_gap(self, event):
+        labels = {"team": self._label(event.team)}
+        self._between_tokens.record(event.gap.total_seconds(), labels)
+
+    def _note_start(self, event):
+        labels = {"team": self._label(event.team)}
+        self._queue.record(event.waited.total_seconds(), labels)
+
+    def _note_refusal(self, event):
+        labels = {"team": self._label(event.team), "cause": event.cause.value}
+        self._refusals.add(1, labels)
+
+    def _note_load(self, event):
+        self._load.record(event.duration.total_seconds())
+
     def _note_end(self, event):
         team = self._label(event.team)
         labels = {"team": team, "class": event.priority.value}
