--- a/libs/node/src/balsamspoke_node/entry.py
+++ b/libs/node/src/balsamspoke_node/entry.py
@@ -3,7 +3,12 @@
 from balsamspoke_catalogue import CatalogueKeeper
 from balsamspoke_limits import Limits, TeamBudgets
 from balsamspoke_membership import Membership, MemberState
-from balsamspoke_routing import AttemptRunner, IdempotencyLedger, ReplicaDirectory
+from balsamspoke_routing import (
+    AttemptRunner,
+    IdempotencyLedger,
+    RecordSweeper,
+    ReplicaDirectory,
+)
 from balsamspoke_types.objects import Kind
 from balsamspoke_types.ports import PeerHandler, VmState
 from twisted.internet.defer import Deferred
@@ -100,6 +105,7 @@
             self.catalogue.view.is_key_valid,
             settings.attempts,
         )
+        self._sweeper = RecordSweeper(clock, store, random_source, settings.ledger)
         self.context = EntryContext(
             process,
             clock,
@@ -119,12 +125,14 @@
         self.catalogue.start()
         self.membership.start()
         self.budgets.start()
+        self._sweeper.start()
 
     def stop(self):
         """End at once; for a planned stop call ``drain`` before."""
         self.membership.stop()
         self.catalogue.stop()
         self.budgets.stop()
+        self._sweeper.stop()
 
     @property
     def is_ready(self):
--- /dev/null
+++ b/libs/node/tests/test_outcomes.py
@@ -0,0 +1,262 @@
+import unittest
+from datetime import timedelta
+
+from balsamspoke_fakes.properties import examples
+from balsamspoke_node import EntrySettings
+from balsamspoke_routing import LedgerSettings
+from balsamspoke_types.objects import Kind
+from hypothesis import given
+from hypothesis import strategies as st
+
+from .checkers import (
+    find_bad_answers,
+    find_double_bookings,
+    find_false_refusals,
+    find_unanswered,
+)
+from .fleet import MODEL, Fleet, expect_text
+from .outcomes import (
+    BOOKINGS,
+    ENGINE_FAILURES,
+    LATE_MESSAGES,
+    RECORD_FAILURES,
+    SERVICE_FAILURES,
+    STREAMS,
+    OutcomeDriver,
+    check_outcomes,
+    draw_actions,
+    find_busy_engines,
+    find_denied_bookings,
+    find_different_answers,
+)
+
+SEEDS = st.integers(0, 2**16)
+SMALL_FLEET = {"engines": 2, "services": 2, "entries": 3, "adapters": 6}
+
+
+def make_fleet(seed=0):
+    fleet = Fleet(seed, **SMALL_FLEET)
+    fleet.settle()
+    return fleet
+
+
+class OutcomePropertiesTest(unittest.TestCase):
+    def run_schedule(self, schedule, seed):
+        fleet = make_fleet(seed)
+        driver = OutcomeDriver(fleet)
+        driver.run(schedule)
+        driver.heal(30)
+        driver.repeat_all()
+        fleet.advance(15)
+        violations = check_outcomes(fleet) + find_unanswered(fleet)
+        self.assertEqual(violations + find_busy_engines(fleet), [])
+
+    @examples(4)
+    @given(draw_actions(*BOOKINGS, *BOOKINGS, *RECORD_FAILURES), SEEDS)
+    def test_bookings_under_failures_of_records(self, schedule, seed):
+        self.run_schedule(schedule, seed)
+
+    @examples(4)
+    @given(draw_actions(*BOOKINGS, *SERVICE_FAILURES, *LATE_MESSAGES), SEEDS)
+    def test_bookings_under_lost_and_late_messages(self, schedule, seed):
+        self.run_schedule(schedule, seed)
+
+    @examples(3)
+    @given(draw_actions(*STREAMS, *STREAMS, *ENGINE_FAILURES, *LATE_MESSAGES), SEEDS)
+    def test_streams_under_failures_of_replicas(self, schedule, seed):
+        self.run_schedule(schedule, seed)
+
+
+class AtMostOnceTest(unittest.TestCase):
+    """Single failures at each point between the record and the saved answer."""
+
+    def setUp(self):
+        self.fleet = make_fleet()
+        self.driver = OutcomeDriver(self.fleet)
+
+    def count_runs(self):
+        return sum(len(service.calls) for service in self.fleet.services)
+
+    def test_an_entry_killed_at_each_millisecond(self):
+        for gap in range(8):
+            self.driver.kill_amid(100 + gap, gap, gap * 0.75)
+            self.driver.wait(4)
+        self.driver.repeat_all()
+        self.assertEqual(check_outcomes(self.fleet), [])
+
+    def test_an_entry_paused_at_each_millisecond(self):
+        for gap in range(8):
+            self.driver.pause_amid(100 + gap, gap, gap * 0.75, 3.0)
+            self.driver.wait(4)
+        self.driver.repeat_all()
+        self.assertEqual(check_outcomes(self.fleet), [])
+        self.assertEqual(self.count_runs(), 8)
+
+    def test_a_lost_answer_is_unknown_to_every_repeat(self):
+        for service in self.fleet.services:
+            service.loses_answers = True
+        self.driver.race(1, 0, 3, 0)
+        self.driver.wait(5)
+        for service in self.fleet.services:
+            service.loses_answers = False
+        self.driver.repeat_all()
+        outcomes = {sent.responder.outcome for sent in self.fleet.sent}
+        self.assertEqual((outcomes, self.count_runs()), ({"unknown"}, 1))
+
+    def test_an_outage_refuses_keyed_bookings_as_not_run(self):
+        self.driver.stop_store(False)
+        keyed = self.fleet.book(self.fleet.entries()[0], idempotency_key="once-1")
+        plain = self.fleet.book(self.fleet.entries()[0])
+        self.driver.wait(5)
+        self.assertEqual(keyed.code, "idempotency_record_unavailable")
+        self.assertEqual((keyed.outcome, plain.status), ("not-run", 200))
+        self.driver.heal(10)
+        self.assertEqual(self.count_runs(), 1)
+
+
+class WholeAnswersTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = make_fleet()
+        self.entry = self.fleet.entries()[0]
+
+    def find_serving(self):
+        """Return the VM whose engine runs something."""
+        for vm in self.fleet.sides(MODEL):
+            if self.fleet.machines[vm].backend.running:
+                return vm
+        raise AssertionError("no engine runs anything")
+
+    def test_a_slow_caller_stops_the_engine_and_loses_nothing(self):
+        answer = self.fleet.complete(self.entry, tokens=600)
+        self.fleet.advance(2)
+        answer.exchange.pause()
+        self.fleet.advance(30)
+        self.assertTrue(answer.is_open)
+        self.assertLess(len(answer.events), 400)
+        answer.exchange.resume()
+        self.fleet.advance(30)
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(
+            answer.text, expect_text("adapter-0", 1, 600, self.fleet.sent[0].prompt)
+        )
+
+    def test_a_caller_who_leaves_frees_the_engine(self):
+        answer = self.fleet.complete(self.entry, tokens=600)
+        self.fleet.advance(2)
+        self.find_serving()
+        answer.exchange.cancel()
+        self.fleet.advance(0.2)
+        self.assertEqual(find_busy_engines(self.fleet), [])
+
+    def test_losses_in_mid_stream_are_continued(self):
+        losses = (
+            self.fleet.restart,
+            lambda vm: self.fleet.machines[vm].backend.restart(),
+            lambda vm: self.fleet.machines[vm].clock.pause(),
+        )
+        for lose in losses:
+            answer = self.fleet.complete(self.entry, tokens=50)
+            self.fleet.advance(1)
+            lose(self.find_serving())
+            self.fleet.advance(15)
+            self.assertTrue(answer.is_whole, answer.body[-200:])
+        self.assertEqual(find_bad_answers(self.fleet), [])
+
+
+class SweepTest(unittest.TestCase):
+    def test_entries_delete_old_records_until_stopped(self):
+        settings = EntrySettings(
+            ledger=LedgerSettings(
+                sweep_interval=timedelta(seconds=10), kept_time=timedelta(seconds=40)
+            )
+        )
+        fleet = Fleet(**SMALL_FLEET, entry_settings=settings)
+        fleet.settle()
+        self.book(fleet, "once-1")
+        fleet.advance(20)
+        self.assertEqual(self.count_records(fleet), 1)
+        fleet.advance(40)
+        self.assertEqual(self.count_records(fleet), 0)
+        self.book(fleet, "once-2")
+        fleet.advance(5)
+        for entry in fleet.entries():
+            fleet.node(entry).stop()
+        fleet.advance(70)
+        self.assertEqual(self.count_records(fleet), 1)
+
+    @staticmethod
+    def book(fleet, key):
+        fleet.book(fleet.entries()[0], idempotency_key=key)
+
+    @staticmethod
+    def count_records(fleet):
+        return sum(
+            kind is Kind.IDEMPOTENCY and not name.startswith(".")
+            for kind, name in fleet.store.objects
+        )
+
+
+class CheckersTest(unittest.TestCase):
+    """Each checker finds a history that violates what it checks."""
+
+    def setUp(self):
+        self.fleet = make_fleet()
+        self.entry = self.fleet.entries()[0]
+
+    def book(self, key="once-1"):
+        body = b"booking-91." if key else b""
+        answer = self.fleet.book(self.entry, idempotency_key=key, body=body)
+        self.fleet.advance(3)
+        return answer
+
+    def rewrite(self, answer, outcome):
+        answer.status = 503
+        answer.body = b'{"error": {"code": "x", "outcome": "%s"}}' % outcome
+
+    def test_a_booking_that_ran_twice(self):
+        self.book()
+        self.assertEqual(find_double_bookings(self.fleet), [])
+        service = next(one for one in self.fleet.services if one.calls)
+        other = next(one for one in self.fleet.services if one is not service)
+        other.calls.append(service.calls[0])
+        self.assertIn("ran 2 times", find_double_bookings(self.fleet)[0])
+
+    def test_repeats_with_different_answers(self):
+        self.book()
+        repeat = self.book()
+        self.assertEqual(find_different_answers(self.fleet), [])
+        repeat.body = b"call 2"
+        self.assertEqual(len(find_different_answers(self.fleet)), 1)
+
+    def test_a_booking_that_ran_and_was_denied(self):
+        self.rewrite(self.book(), b"unknown")
+        self.assertEqual(find_denied_bookings(self.fleet), [])
+        self.rewrite(self.fleet.sent[0].responder, b"not-run")
+        self.assertEqual(len(find_denied_bookings(self.fleet)), 1)
+
+    def test_false_refusals(self):
+        booking = self.book("")
+        stream = self.fleet.complete(self.entry, stream=False)
+        self.fleet.advance(3)
+        self.assertEqual(find_false_refusals(self.fleet), [])
+        self.rewrite(booking, b"not-run")
+        self.rewrite(stream, b"not-run")
+        self.assertEqual(len(find_false_refusals(self.fleet)), 2)
+
+    def test_bad_answers(self):
+        answer = self.fleet.complete(self.entry, tokens=3)
+        self.fleet.advance(3)
+        self.assertEqual(find_bad_answers(self.fleet), [])
+        whole = answer.body
+        lines = whole.split(b"\n\n")
+        for wrong in (lines[1:], lines[:1] + lines, lines[:1] + lines[2:]):
+            answer.body = b"\n\n".join(wrong)
+            self.assertEqual(len(find_bad_answers(self.fleet)), 1)
+        answer.body = whole
+        answer.ends = 2
+        self.assertIn("ended 2 times", find_bad_answers(self.fleet)[0])
+
+    def test_an_engine_that_runs_for_nobody(self):
+        self.fleet.complete(self.entry, tokens=500)
+        self.fleet.advance(2)
+        self.assertEqual(len(find_busy_engines(self.fleet)), 1)
