Continue generations elsewhere once their replica is silent

Cause: a side process on a frozen VM stays connected, so a generation waited for half its deadline before the first token, and for the stall time after it, though the membership suspects the process after about 3.5 s. Now peer_silent moves only what may be repeated, and only if another replica can take it. Its test was seen red before: the answer was empty 7 s after the freeze.

--- a/libs/node/src/balsamspoke_node/entry.py
+++ b/libs/node/src/balsamspoke_node/entry.py
@@ -117,6 +117,7 @@
         )
         self._handler = RequestHandler(self.context)
         self._routed = set()
+        self._silent = set()
         self._stopping = False
         transport.bind(self)
 
@@ -244,6 +245,10 @@
                 live=member.state is MemberState.LIVE,
                 leaving=_is_leaving(member),
             )
+        silent = {one.process for one in sides if one.state is MemberState.SUSPECT}
+        news, self._silent = silent - self._silent, silent
+        for process in sorted(news):
+            self.runner.peer_silent(process)
         known = {member.process for member in sides}
         for gone in self._routed - known:
             self.directory.forget(gone)
--- a/libs/node/tests/test_outcomes.py
+++ b/libs/node/tests/test_outcomes.py
@@ -4,6 +4,7 @@
 from balsamspoke_fakes.properties import examples
 from balsamspoke_node import EntrySettings
 from balsamspoke_routing import LedgerSettings
+from balsamspoke_types.messages import CallService, RunGeneration
 from balsamspoke_types.objects import Kind
 from hypothesis import given
 from hypothesis import strategies as st
@@ -103,6 +104,14 @@
         outcomes = {sent.responder.outcome for sent in self.fleet.sent}
         self.assertEqual((outcomes, self.count_runs()), ({"unknown"}, 1))
 
+    def test_a_call_without_a_key_is_never_tried_again(self):
+        for service in self.fleet.services:
+            service.loses_answers = True
+        answers = [self.fleet.book(entry) for entry in self.fleet.entries()]
+        self.driver.wait(5)
+        self.assertEqual({answer.outcome for answer in answers}, {"unknown"})
+        self.assertEqual(self.count_runs(), len(answers))
+
     def test_an_outage_refuses_keyed_bookings_as_not_run(self):
         self.driver.stop_store(False)
         keyed = self.fleet.book(self.fleet.entries()[0], idempotency_key="once-1")
@@ -148,6 +157,18 @@
         self.fleet.advance(0.2)
         self.assertEqual(find_busy_engines(self.fleet), [])
 
+    def test_reordered_and_doubled_messages_leave_no_gap(self):
+        self.fleet.network.jitter = timedelta(milliseconds=400)
+        self.fleet.network.double_rate = 0.3
+        answers = [
+            self.fleet.complete(entry, tokens=60, stream=stream)
+            for entry in self.fleet.entries()
+            for stream in (True, False)
+        ]
+        self.fleet.advance(20)
+        self.assertTrue(all(answer.is_whole for answer in answers))
+        self.assertEqual(find_bad_answers(self.fleet), [])
+
     def test_losses_in_mid_stream_are_continued(self):
         losses = (
             self.fleet.restart,
@@ -163,6 +184,49 @@
         self.assertEqual(find_bad_answers(self.fleet), [])
 
 
+class SilentReplicaTest(unittest.TestCase):
+    """A replica whose VM is frozen stays connected and answers nothing."""
+
+    def setUp(self):
+        self.fleet = make_fleet()
+        self.entry = self.fleet.entries()[0]
+
+    def freeze_receiver(self, kind):
+        """Freeze the side process that the last order of a kind is on its way to."""
+        log = self.fleet.network.log
+        peers = [peer for _, peer, message in log if isinstance(message, kind)]
+        clock = self.fleet.machines[peers[-1].vm].clock
+        clock.pause()
+        return clock
+
+    def test_a_generation_goes_on_elsewhere_before_it_stalls(self):
+        answer = self.fleet.complete(self.entry, tokens=5)
+        self.freeze_receiver(RunGeneration)
+        self.fleet.advance(7)
+        self.assertTrue(answer.is_whole, answer.body)
+
+    def test_a_generation_waits_if_there_is_no_other_replica(self):
+        fleet = self.fleet
+        for vm in fleet.sides(MODEL)[1:]:
+            fleet.kill(vm)
+        fleet.advance(10)
+        answer = fleet.complete(self.entry, tokens=5)
+        clock = self.freeze_receiver(RunGeneration)
+        fleet.advance(7)
+        clock.resume()
+        fleet.advance(3)
+        self.assertTrue(answer.is_whole, answer.body)
+
+    def test_a_booking_waits_for_its_answer(self):
+        answer = self.fleet.book(self.entry)
+        clock = self.freeze_receiver(CallService)
+        self.fleet.advance(6)
+        self.assertTrue(answer.is_open)
+        clock.resume()
+        self.fleet.advance(1)
+        self.assertEqual((answer.status, answer.body), (200, b"call 1"))
+
+
 class SweepTest(unittest.TestCase):
     def test_entries_delete_old_records_until_stopped(self):
         settings = EntrySettings(
--- a/libs/routing/src/balsamspoke_routing/attempts.py
+++ b/libs/routing/src/balsamspoke_routing/attempts.py
@@ -25,6 +25,10 @@
     def regain_connection(self, attempt):
         """Note that the same run of the side process is connected again."""
 
+    @abstractmethod
+    def notice_silence(self, attempt):
+        """Note that the connected side process doesn't answer."""
+
 
 @dataclass(frozen=True, slots=True)
 class _OpenAttempt:
@@ -124,6 +128,11 @@
         for attempt, found in self._get_attempts(peer):
             found.owner.lose_connection(attempt)
 
+    def note_silent(self, peer):
+        """Note that a side process doesn't answer, connected or not."""
+        for attempt, found in self._get_attempts(peer):
+            found.owner.notice_silence(attempt)
+
     def _forget_older_runs(self, peer):
         for older in [known for known in self._cancels if known.vm == peer.vm]:
             del self._cancels[older]
--- a/libs/routing/src/balsamspoke_routing/calls.py
+++ b/libs/routing/src/balsamspoke_routing/calls.py
@@ -60,6 +60,13 @@
             self._cancel_wait()
         self._ask_fence()
 
+    def notice_silence(self, attempt):
+        """Try again elsewhere, if that is allowed and another replica can."""
+        is_ours = attempt == self._attempt and self._request.idempotent
+        if is_ours and self._has_other_replica(self._request.service, None):
+            self._context.table.abandon(attempt)
+            self._take_unknown(Cause.BACKEND_LOST)
+
     def _take_refusal(self, message):
         self._history.note_refused(message)
         self._take_not_run(message.cause)
--- a/libs/routing/src/balsamspoke_routing/generations.py
+++ b/libs/routing/src/balsamspoke_routing/generations.py
@@ -69,6 +69,14 @@
     def regain_connection(self, attempt):
         """Do nothing: the attempt was given up with the connection."""
 
+    def notice_silence(self, attempt):
+        """Continue elsewhere at once, if another replica can."""
+        request = self._request
+        if attempt == self._attempt and self._has_other_replica(
+            request.model, request.adapter
+        ):
+            self._notice_stall()
+
     def _take_refusal(self, message):
         self._history.note_refused(message)
         if self._assembly.offset:
--- a/libs/routing/src/balsamspoke_routing/runner.py
+++ b/libs/routing/src/balsamspoke_routing/runner.py
@@ -109,6 +109,13 @@
         """Note that messages to a process may be lost."""
         self._table.note_disconnected(peer)
 
+    def peer_silent(self, peer):
+        """Note that a process doesn't answer, though it may be connected.
+
+        What may be repeated goes on elsewhere, if another replica can take it.
+        """
+        self._table.note_silent(peer)
+
     def peer_message(self, peer, message):
         """Take a message from a process.
 
--- a/libs/routing/src/balsamspoke_routing/running.py
+++ b/libs/routing/src/balsamspoke_routing/running.py
@@ -157,5 +157,9 @@
             service, adapter, frozenset(self._excluded)
         )
 
+    def _has_other_replica(self, service, adapter):
+        others = frozenset({*self._excluded, self._peer})
+        return self._context.directory.choose(service, adapter, others) is not None
+
     def _is_exhausted(self):
         return self._history.without_progress >= self._settings.maximum_attempts
