--- a/libs/node/tests/test_outcomes.py
+++ b/libs/node/tests/test_outcomes.py
@@ -41,15 +41,26 @@
     return fleet
 
 
+def freeze_receiver(fleet, kind):
+    """Freeze the side process that the last order of a kind is on its way to."""
+    log = fleet.network.log
+    peers = [peer for _, peer, message in log if isinstance(message, kind)]
+    clock = fleet.machines[peers[-1].vm].clock
+    clock.pause()
+    return clock
+
+
 class OutcomePropertiesTest(unittest.TestCase):
     def run_schedule(self, schedule, seed):
         fleet = make_fleet(seed)
         driver = OutcomeDriver(fleet)
         driver.run(schedule)
         driver.heal(30)
+        # Repeats get answers, which would hide that all were told not run.
+        violations = find_denied_bookings(fleet)
         driver.repeat_all()
         fleet.advance(15)
-        violations = check_outcomes(fleet) + find_unanswered(fleet)
+        violations += check_outcomes(fleet) + find_unanswered(fleet)
         self.assertEqual(violations + find_busy_engines(fleet), [])
 
     @examples(4)
@@ -112,6 +123,26 @@
         self.assertEqual({answer.outcome for answer in answers}, {"unknown"})
         self.assertEqual(self.count_runs(), len(answers))
 
+    def test_a_frozen_side_process_has_promised_nothing(self):
+        first, second, _ = self.fleet.entries()
+        self.fleet.book(first, idempotency_key="once-1", body=b"booking-91.")
+        self.driver.wait(0.0022)
+        clock = freeze_receiver(self.fleet, CallService)
+        self.fleet.kill(first)
+        self.driver.wait(1.5)
+        repeat = self.fleet.book(second, idempotency_key="once-1", body=b"booking-91.")
+        self.driver.wait(0.5)
+        self.assertEqual(repeat.outcome, "unknown")
+        clock.resume()
+        self.driver.wait(3)
+        self.assertEqual(self.count_runs(), 1)
+
+    def test_a_record_that_comes_too_late_runs_nothing(self):
+        self.driver.slow_store(0, 1000)
+        answer = self.fleet.book(self.fleet.entries()[0], idempotency_key="once-1")
+        self.driver.wait(10)
+        self.assertEqual((answer.outcome, self.count_runs()), ("not-run", 0))
+
     def test_an_outage_refuses_keyed_bookings_as_not_run(self):
         self.driver.stop_store(False)
         keyed = self.fleet.book(self.fleet.entries()[0], idempotency_key="once-1")
@@ -191,17 +222,9 @@
         self.fleet = make_fleet()
         self.entry = self.fleet.entries()[0]
 
-    def freeze_receiver(self, kind):
-        """Freeze the side process that the last order of a kind is on its way to."""
-        log = self.fleet.network.log
-        peers = [peer for _, peer, message in log if isinstance(message, kind)]
-        clock = self.fleet.machines[peers[-1].vm].clock
-        clock.pause()
-        return clock
-
     def test_a_generation_goes_on_elsewhere_before_it_stalls(self):
         answer = self.fleet.complete(self.entry, tokens=5)
-        self.freeze_receiver(RunGeneration)
+        freeze_receiver(self.fleet, RunGeneration)
         self.fleet.advance(7)
         self.assertTrue(answer.is_whole, answer.body)
 
@@ -211,7 +234,7 @@
             fleet.kill(vm)
         fleet.advance(10)
         answer = fleet.complete(self.entry, tokens=5)
-        clock = self.freeze_receiver(RunGeneration)
+        clock = freeze_receiver(self.fleet, RunGeneration)
         fleet.advance(7)
         clock.resume()
         fleet.advance(3)
@@ -219,7 +242,7 @@
 
     def test_a_booking_waits_for_its_answer(self):
         answer = self.fleet.book(self.entry)
-        clock = self.freeze_receiver(CallService)
+        clock = freeze_receiver(self.fleet, CallService)
         self.fleet.advance(6)
         self.assertTrue(answer.is_open)
         clock.resume()
