--- a/libs/node/tests/test_outcomes.py
+++ b/libs/node/tests/test_outcomes.py
@@ -137,6 +137,19 @@
         self.driver.wait(3)
         self.assertEqual(self.count_runs(), 1)
 
+    def test_an_answer_lost_with_its_connection_is_unknown(self):
+        entry = self.fleet.entries()[0]
+        for key in ("", "once-1"):
+            answer = self.fleet.book(entry, idempotency_key=key)
+            self.driver.wait(0.0022)
+            order = [m for m in self.fleet.network.log if isinstance(m[2], CallService)]
+            self.fleet.network.cut.add((order[-1][1].vm, entry))
+            self.driver.wait(5)
+            self.assertEqual(answer.outcome, "unknown")
+            self.driver.mend_network()
+            self.driver.wait(5)
+        self.assertEqual(self.count_runs(), 2)
+
     def test_a_record_that_comes_too_late_runs_nothing(self):
         self.driver.slow_store(0, 1000)
         answer = self.fleet.book(self.fleet.entries()[0], idempotency_key="once-1")
