Prove the budgets of teams over whole nodes, through floods and failures

The exact checker of windows moves to balsamspoke_fakes.checkers unchanged, so that the tests of limits and of the node share it.

--- a/libs/limits/tests/fleet.py
+++ b/libs/limits/tests/fleet.py
@@ -14,12 +14,11 @@
     VirtualTime,
     VmListState,
 )
+from balsamspoke_fakes.checkers import Admission, LimitChange, find_excess
 from balsamspoke_limits import BudgetSettings, Limits, TeamBudgets
 from balsamspoke_types.identifiers import ProcessId
 from balsamspoke_types.ports import PeerHandler, VmRecord
 
-from .checker import Admission, LimitChange, find_excess
-
 POLL = timedelta(milliseconds=500)
 CALL_INTERVAL = timedelta(milliseconds=250)
 QUICK = BudgetSettings(
--- a/libs/limits/tests/test_bucket.py
+++ b/libs/limits/tests/test_bucket.py
@@ -1,13 +1,12 @@
 import unittest
 from datetime import timedelta
 
+from balsamspoke_fakes.checkers import Admission, LimitChange, find_excess
 from balsamspoke_fakes.properties import examples
 from balsamspoke_limits.bucket import MICRO, Bucket
 from hypothesis import given
 from hypothesis import strategies as st
 
-from .checker import Admission, LimitChange, find_excess
-
 RATE = 10
 BURST = 100
 
--- a/libs/limits/tests/test_checker.py
+++ b/libs/limits/tests/test_checker.py
@@ -2,7 +2,7 @@
 import unittest
 from datetime import timedelta
 
-from .checker import Admission, LimitChange, find_excess
+from balsamspoke_fakes.checkers import Admission, LimitChange, find_excess
 
 
 def seconds(number):
--- /dev/null
+++ b/libs/node/tests/spending.py
@@ -0,0 +1,197 @@
+"""A fleet whose teams send more than their rate, and what they were let use."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from balsamspoke_fakes.checkers import Admission, LimitChange, find_excess
+from balsamspoke_node.completions import BYTES_PER_TOKEN
+from balsamspoke_types.objects import Kind, Team
+from hypothesis import strategies as st
+
+from .fleet import Fleet
+from .schedules import (
+    BACKEND_FAILURES,
+    NETWORK_FAILURES,
+    PROCESS_FAILURES,
+    ScheduleDriver,
+)
+
+SPENDER = "hotel"
+RATE = 20.0
+BURST = 200
+STEP_SECONDS = 0.25
+
+# The budgets assume that a VM that is listed again stays so for this long.
+SHOWN_SECONDS = 9.0
+
+
+@dataclass(frozen=True)
+class Admitted:
+    """A request that an entry process let run."""
+
+    at: timedelta
+    body: bytes
+
+
+class _RecordingRunner:
+    """Note every admission, and hand it on to the true runner."""
+
+    def __init__(self, runner, note):
+        self._runner = runner
+        self._note = note
+
+    def run_generation(self, request, sink):
+        self._note(request)
+        return self._runner.run_generation(request, sink)
+
+    def __getattr__(self, name):
+        return getattr(self._runner, name)
+
+
+class SpendingFleet(Fleet):
+    """A fleet that keeps what was admitted, and which limits were in force.
+
+    Limits count as in force while any process has them.
+    """
+
+    def __init__(self, seed=0):
+        self.admitted = []
+        self.limit_changes = [LimitChange(timedelta(0), RATE, BURST)]
+        self.looked_at = timedelta(0)
+        super().__init__(
+            seed, engines=2, services=1, adapters=2, rate=RATE, burst=BURST
+        )
+
+    def start(self, vm):
+        node = super().start(vm)
+        if self.machines[vm].record.role == "entry":
+            runner = node.context.runner
+            node.context.runner = _RecordingRunner(runner, self._note_admission)
+        return node
+
+    def change_limits(self, rate, burst):
+        self.put(Kind.TEAM, SPENDER, Team(SPENDER, rate, burst))
+
+    def flood(self, seconds, tokens):
+        """Send several times the rate through all entry processes."""
+        for _ in range(round(seconds / STEP_SECONDS)):
+            for vm in self.entries():
+                self.complete(vm, tokens=tokens)
+            self.advance(STEP_SECONDS)
+
+    def advance(self, seconds):
+        end = self.time.elapsed + timedelta(seconds=seconds)
+        while self.time.elapsed < end:
+            step = min(timedelta(seconds=STEP_SECONDS), end - self.time.elapsed)
+            self.time.advance(step)
+            self.look_at_limits()
+
+    def look_at_limits(self):
+        """Note the highest limits that any process has in force now.
+
+        A rise counts from the last look on and a fall from this one, which is
+        in the favour of what is checked by less than a step.
+        """
+        teams = [
+            machine.node.catalogue.view.team(SPENDER)
+            for machine in self.machines.values()
+            if machine.record.role == "entry" and machine.is_running
+        ]
+        teams = [team for team in teams if team is not None]
+        last = self.limit_changes[-1]
+        rate = max((team.rate for team in teams), default=last.rate)
+        burst = max((team.burst for team in teams), default=last.burst)
+        highest = (max(rate, last.rate), max(burst, last.burst))
+        if highest != (last.rate, last.burst):
+            self.limit_changes.append(LimitChange(self.looked_at, *highest))
+        if highest != (rate, burst):
+            self.limit_changes.append(LimitChange(self.time.elapsed, rate, burst))
+        self.looked_at = self.time.elapsed
+
+    def list_uses(self):
+        """Return an Admission for each request, by what engine and caller saw."""
+        started = {order.body for engine in self.engines for order in engine.started}
+        by_prompt = {sent.prompt.encode(): sent for sent in self.sent if sent.prompt}
+        uses = []
+        for admitted in self.admitted:
+            if admitted.body not in started:
+                continue
+            sent = next(
+                sent
+                for prompt, sent in by_prompt.items()
+                if b'"%b"' % prompt in admitted.body
+            )
+            prompt_tokens = -(-len(sent.prompt) // BYTES_PER_TOKEN)
+            delivered = self._count_tokens(sent.responder)
+            uses.append(Admission(admitted.at, prompt_tokens + delivered))
+        return uses
+
+    def find_excess(self):
+        """Return the worst Excess over any window, or None."""
+        return find_excess(self.list_uses(), self.limit_changes)
+
+    @staticmethod
+    def _count_tokens(responder):
+        if responder.status != 200:
+            return 0
+        return len(responder.text.split())
+
+    def _note_admission(self, request):
+        self.look_at_limits()
+        if request.team == SPENDER:
+            self.admitted.append(Admitted(self.time.elapsed, request.body))
+
+
+class SpendingDriver(ScheduleDriver):
+    """Carry out schedules of floods, changed limits and failures."""
+
+    def flood(self, seconds, tokens):
+        self.fleet.flood(seconds, tokens)
+
+    def limit(self, rate, burst):
+        self.fleet.change_limits(rate, burst)
+
+    def show_vms(self):
+        super().show_vms()
+        self.fleet.advance(SHOWN_SECONDS)
+
+
+_ANY = st.integers(0, 20)
+_FLAGS = st.booleans()
+_RATES = st.sampled_from([0.0, 0.1, 0.5])
+
+FLOODS = st.tuples(
+    st.just("flood"), st.sampled_from([1.0, 4.0, 12.0]), st.sampled_from([5, 40])
+)
+LIMITS = st.tuples(
+    st.just("limit"), st.sampled_from([5.0, 20.0, 60.0]), st.sampled_from([100, 400])
+)
+WAITS = st.tuples(st.just("wait"), st.sampled_from([1.0, 9.0, 45.0]))
+
+# The lag stays below what the budgets assume at most, five seconds.
+PLATFORM_FAILURES = st.one_of(
+    st.tuples(st.just("stop_store"), _FLAGS),
+    st.tuples(st.just("cut_from_store"), _ANY),
+    st.tuples(
+        st.just("disturb_store"), _ANY, _RATES, st.sampled_from([0, 2, 10]), _RATES
+    ),
+    st.tuples(st.just("lag_vms"), st.sampled_from([0, 3, 4])),
+    st.tuples(st.just("hide_vm"), _ANY),
+    st.tuples(st.just("show_vms")),
+)
+SCHEDULES = st.lists(
+    st.one_of(
+        FLOODS,
+        FLOODS,
+        LIMITS,
+        WAITS,
+        PROCESS_FAILURES,
+        PROCESS_FAILURES,
+        NETWORK_FAILURES,
+        PLATFORM_FAILURES,
+        PLATFORM_FAILURES,
+        BACKEND_FAILURES,
+    ),
+    min_size=8,
+    max_size=24,
+)
