--- a/libs/node/tests/test_budgets.py
+++ b/libs/node/tests/test_budgets.py
@@ -7,6 +7,7 @@
 from .spending import BURST, RATE, SCHEDULES, SpendingDriver, SpendingFleet
 
 FLOOD_SECONDS = 20
+HIDDEN_SECONDS = 60
 
 
 class BudgetTest(unittest.TestCase):
@@ -28,6 +29,17 @@
         self.assertEqual(fleet.limit_changes[-1].rate, 5.0)
         self.assertIsNone(fleet.find_excess())
 
+    def test_a_live_holder_that_is_hidden_and_cut_off(self):
+        """Its part of the budget goes to others only when it has stopped."""
+        fleet = SpendingFleet()
+        fleet.settle(40)
+        driver = SpendingDriver(fleet)
+        driver.hidden.add(fleet.entries()[0])
+        driver.publish()
+        fleet.machines[fleet.entries()[0]].store.reachable = False
+        fleet.flood(HIDDEN_SECONDS, tokens=5)
+        self.assertIsNone(fleet.find_excess())
+
     @examples(6)
     @given(SCHEDULES, st.integers(0, 2**16))
     def test_any_window_under_failures(self, schedule, seed):
