--- a/libs/node/tests/test_keys.py
+++ b/libs/node/tests/test_keys.py
@@ -1,16 +1,18 @@
 import base64
 import unittest
+from datetime import timedelta
 
 import orjson
 from balsamspoke_fakes.properties import examples
 from balsamspoke_node import CallerRequest, Observer
 from balsamspoke_node.authorization import refuse_misplaced_key
 from balsamspoke_node.exceptions import RequestRefused
+from balsamspoke_types.objects import Adapter, Kind, PlainService
 from hypothesis import given
 from hypothesis import strategies as st
 
-from .checkers import find_leaked_keys
-from .fleet import SERVICE, Fleet, make_key
+from .checkers import find_foreign_runs, find_leaked_keys
+from .fleet import MODEL, SERVICE, TEAMS, Fleet, make_key
 
 KEY = make_key("hotel-key")
 AUTHORIZATION = ("authorization", f"Bearer {KEY}")
@@ -165,3 +167,110 @@
         """The stated limit: the check undoes no base64."""
         coded = base64.b64encode(KEY.encode())
         refuse_misplaced_key(CallerRequest("POST", BOOKINGS, (), coded))
+
+
+KEYS = ("hotel-key", "marina-key", "unknown-key", "")
+OPEN_ADAPTER = "adapter-open"
+WITHDRAWN_AFTER = timedelta(seconds=6)
+
+
+class TeamKeyTest(unittest.TestCase):
+    """Except on open routes, a request runs only for its key's team."""
+
+    def setUp(self):
+        self.fleet = Fleet(engines=1, services=1, adapters=4)
+        adapter = Adapter(OPEN_ADAPTER, "hotel", MODEL, 1, (1,), open_to_all=True)
+        self.fleet.put(Kind.ADAPTER, OPEN_ADAPTER, adapter)
+        self.fleet.settle()
+
+    def has_started(self, number):
+        mark = b"request-%d." % number
+        return any(
+            mark in order.body
+            for engine in self.fleet.engines
+            for order in engine.started
+        )
+
+    @examples(80)
+    @given(
+        st.integers(0, 2), st.integers(0, 3), st.sampled_from(KEYS), st.integers(0, 2)
+    )
+    def test_adapters_are_their_teams(self, entry, adapter, key, version):
+        name = f"adapter-{adapter}"
+        owner = self.fleet.find_owner(name)
+        asked = f"{name}:{version}" if version else name
+        answer = self.fleet.complete(self.fleet.entries()[entry], asked, key)
+        number = len(self.fleet.sent) - 1
+        self.fleet.advance(3)
+        self.assertEqual(answer.is_whole, key == f"{owner}-key")
+        self.assertEqual(self.has_started(number), key == f"{owner}-key")
+        self.assertEqual(find_foreign_runs(self.fleet), [])
+
+    def test_an_open_adapter_runs_for_all_whose_key_is_in_force(self):
+        for key in ("hotel-key", "marina-key", ""):
+            answer = self.fleet.complete(self.fleet.entries()[0], OPEN_ADAPTER, key)
+            self.fleet.advance(3)
+            self.assertTrue(answer.is_whole, key)
+        answer = self.fleet.complete(self.fleet.entries()[0], OPEN_ADAPTER, "bad-key")
+        self.assertEqual(answer.code, "key_rejected")
+
+    def test_services_are_for_their_teams(self):
+        for teams, is_open in ((TEAMS, False), (("marina",), False), ((), True)):
+            service = PlainService(SERVICE, teams, (), open_to_all=is_open)
+            self.fleet.put(Kind.SERVICE, SERVICE, service)
+            self.fleet.advance(6)
+            for team in TEAMS:
+                calls = len(self.fleet.services[0].calls)
+                answer = self.fleet.book(self.fleet.entries()[0], f"{team}-key")
+                self.fleet.advance(1)
+                ran = len(self.fleet.services[0].calls) - calls
+                self.assertEqual(ran, int(is_open or team in teams))
+                self.assertEqual(answer.status == 200, is_open or team in teams)
+
+
+class WithdrawnKeyTest(unittest.TestCase):
+    """A withdrawn key starts nothing after six seconds, wherever it is used."""
+
+    def check_withdrawal(self, disturb):
+        fleet = Fleet(engines=1, services=1, adapters=4)
+        fleet.settle()
+        disturb(fleet)
+        fleet.advance(1)
+        for _ in range(10):
+            for entry in fleet.entries():
+                fleet.complete(entry, tokens=200)
+        fleet.advance(0.5)
+        withdrawn_at = fleet.time.elapsed
+        fleet.withdraw_key("hotel-key")
+        fleet.advance(WITHDRAWN_AFTER.total_seconds())
+        for entry in fleet.entries():
+            answer = fleet.complete(entry)
+            self.assertEqual(answer.code, "key_rejected")
+            self.assertEqual(fleet.book(entry).code, "key_rejected")
+        fleet.advance(40)
+        late = [
+            at - withdrawn_at
+            for at, _ in fleet.engines[0].starts
+            if at > withdrawn_at + WITHDRAWN_AFTER
+        ]
+        self.assertEqual(late, [])
+        refused = [one for one in fleet.sent if one.responder.code == "key_rejected"]
+        self.assertGreater(len(refused), 2 * len(fleet.entries()))
+
+    def test_with_requests_queued(self):
+        self.check_withdrawal(lambda fleet: None)
+
+    def test_with_an_entry_cut_from_the_object_api(self):
+        def cut(fleet):
+            store = fleet.machines[fleet.entries()[0]].store
+            store.reachable = False
+            store.end_watches()
+
+        self.check_withdrawal(cut)
+
+    def test_with_side_processes_cut_from_the_object_api(self):
+        def cut(fleet):
+            for vm in fleet.sides() + fleet.sides(SERVICE):
+                fleet.machines[vm].store.reachable = False
+
+        self.check_withdrawal(cut)
