--- a/libs/node/src/balsamspoke_node/authorization.py
+++ b/libs/node/src/balsamspoke_node/authorization.py
@@ -104,9 +104,10 @@
     for _ in range(_PERCENT_DECODINGS):
         if KEY_PATTERN_BYTES.search(text):
             return True
-        if b"%" not in text:
+        decoded = unquote_to_bytes(text) if b"%" in text else text
+        if decoded == text:
             return False
-        text = unquote_to_bytes(text)
+        text = decoded
     return KEY_PATTERN_BYTES.search(text) is not None
 
 
