Prove that planned stops cut no request, over whole nodes

Rolling replacement of every VM under a balancer's load, an entry's grace time, queued requests that move on, replicas that drain one after the other, the last one leaving, and one unplanned failure elsewhere.

--- /dev/null
+++ b/libs/node/tests/test_stops.py
@@ -0,0 +1,137 @@
+import unittest
+
+from balsamspoke_fakes.properties import examples
+from hypothesis import given
+from hypothesis import strategies as st
+
+from .checkers import check_always
+from .fleet import MODEL, SERVICE, Fleet
+from .rolling import (
+    BalancedLoad,
+    RollingReplacement,
+    find_not_whole,
+    is_lost_with,
+)
+
+SEEDS = st.integers(0, 2**16)
+REFUSED_AT_ONCE_SECONDS = 1
+
+
+def make_loaded_fleet(seed=0, **sizes):
+    fleet = Fleet(seed, **sizes)
+    fleet.settle()
+    load = BalancedLoad(fleet)
+    load.run(2)
+    return fleet, load
+
+
+class PlannedStopTest(unittest.TestCase):
+    """A planned stop cuts no request."""
+
+    def check(self, fleet, excused=lambda sent: False):
+        fleet.advance(30)
+        self.assertEqual(find_not_whole(fleet, excused), [])
+        self.assertEqual(check_always(fleet), [])
+
+    @examples(2)
+    @given(SEEDS, st.booleans(), st.sampled_from([0, 3, 8]))
+    def test_every_vm_is_replaced_under_load(self, seed, is_listed, lag):
+        fleet, load = make_loaded_fleet(seed, engines=2, entries=2)
+        fleet.vms.lag = type(fleet.vms.lag)(seconds=lag)
+        RollingReplacement(load, is_listed).replace_all()
+        self.check(fleet)
+
+    def test_an_entry_answers_in_its_grace_time(self):
+        fleet, load = make_loaded_fleet()
+        entry = fleet.entries()[0]
+        ended = []
+        running = fleet.complete(entry, "adapter-0", tokens=400)
+        fleet.node(entry).drain().addBoth(ended.append)
+        self.assertFalse(fleet.node(entry).is_ready)
+        fleet.advance(4)
+        late = fleet.complete(entry, "adapter-2", tokens=5)
+        booking = fleet.book(entry)
+        fleet.advance(4)
+        self.assertTrue(late.is_whole, late.body)
+        self.assertEqual(booking.status, 200)
+        self.assertTrue(running.is_open)
+        self.assertEqual(ended, [])
+        refused = fleet.complete(entry, "adapter-2", tokens=5)
+        self.assertEqual((refused.code, refused.outcome), ("stopping", "not-run"))
+        fleet.advance(15)
+        self.assertTrue(running.is_whole)
+        self.assertEqual(ended, [0])
+
+    def test_queued_requests_move_and_running_streams_go_on(self):
+        fleet = Fleet(engines=2)
+        fleet.settle()
+        answers = [
+            fleet.complete(fleet.entries()[n % 3], "adapter-0", tokens=300)
+            for n in range(24)
+        ]
+        fleet.advance(2)
+        vm = fleet.sides()[0]
+        ended = []
+        fleet.node(vm).drain().addBoth(ended.append)
+        fleet.advance(60)
+        self.assertEqual(len(ended), 1)
+        fleet.node(vm).stop()
+        fleet.remove_machine(vm)
+        fleet.publish_vms()
+        fleet.advance(60)
+        self.assertEqual([a.code for a in answers if not a.is_whole], [])
+        self.check(fleet)
+
+    @examples(2)
+    @given(SEEDS, st.sampled_from(["entry", "model", "service"]))
+    def test_an_unplanned_failure_elsewhere_touches_only_its_own(self, seed, role):
+        fleet, load = make_loaded_fleet(seed)
+        rolling = RollingReplacement(load)
+        names = {"entry": fleet.entries(), "model": fleet.sides()}
+        victim = names.get(role, fleet.sides(SERVICE))[-1]
+        rolling.replace(fleet.entries()[0])
+        lost_at = fleet.time.elapsed
+        fleet.remove_machine(victim)
+        load.check_health()
+        fleet.publish_vms()
+        rolling.replace(fleet.sides()[0])
+        rolling.replace(fleet.sides(SERVICE)[0])
+        fleet.advance(30)
+        excused = is_lost_with(fleet, victim)
+        bad = find_not_whole(fleet, excused)
+        if role == "service":
+            # A booking that had gone to the lost one may be unknown.
+            bad = [
+                sent
+                for sent in fleet.sent
+                if sent.responder.status != 200
+                and not (sent.is_booking and sent.responder.outcome == "unknown")
+            ]
+            self.assertLess(lost_at, fleet.time.elapsed)
+        self.assertEqual(bad, [])
+        self.assertEqual(check_always(fleet), [])
+
+    def test_the_replicas_of_a_service_drain_one_after_the_other(self):
+        fleet, load = make_loaded_fleet(engines=3, services=3)
+        rolling = RollingReplacement(load)
+        for service in (MODEL, SERVICE):
+            for vm in fleet.sides(service)[:-1]:
+                rolling.stop(vm)
+        self.check(fleet)
+
+    def test_the_last_replica_leaves_and_refusals_are_honest_at_once(self):
+        fleet = Fleet(engines=1, services=1)
+        fleet.settle()
+        entry = fleet.entries()[0]
+        running = fleet.complete(entry, "adapter-0", tokens=200)
+        fleet.advance(1)
+        for service in (MODEL, SERVICE):
+            fleet.node(fleet.sides(service)[0]).drain()
+        fleet.advance(1)
+        refused = [fleet.complete(entry, "adapter-2"), fleet.book(entry)]
+        fleet.advance(REFUSED_AT_ONCE_SECONDS)
+        for answer in refused:
+            self.assertEqual((answer.code, answer.outcome), ("no_replica", "not-run"))
+        fleet.advance(15)
+        self.assertTrue(running.is_whole)
+        self.assertEqual(check_always(fleet), [])
