Let a side process refuse what was on its way before it ends

Cause: an idle side process drained at once and ended while an order was on its way to it; the caller of a booking or generation got 502 backend_lost, a booking of unknown outcome. Also the last answer could be dropped with the connection, a side process without a model opened its replica while draining, and a second drain of an entry lost the first one's Deferred. Ruled out: a replica that takes work while it drains (it refuses as not run). Before: test_an_order_on_its_way... got (502, 'backend_lost'); test_a_side_process_without_a_model... found an EngineReplica; test_a_second_order_to_stop... had 1 of 2 ends. Conclusion: a planned stop of a side process lasts at least leaving_grace (2 s) and 200 ms after the last answer.

--- a/libs/node/src/balsamspoke_node/entry.py
+++ b/libs/node/src/balsamspoke_node/entry.py
@@ -6,13 +6,13 @@
 from balsamspoke_routing import AttemptRunner, IdempotencyLedger, ReplicaDirectory
 from balsamspoke_types.objects import Kind
 from balsamspoke_types.ports import PeerHandler, VmState
-from twisted.internet.defer import Deferred
 
 from .context import EntryContext
 from .events import CatalogueChanged, ObserverGroup, SilentObserver, StopStarted
 from .explanations import Explanations
 from .frontdoor import RequestHandler
 from .settings import EntrySettings
+from .waiters import Waiters
 from .watchers import choose_watchers
 
 ENTRY_ROLE = "entry"
@@ -112,6 +112,8 @@
         self._handler = RequestHandler(self.context)
         self._routed = set()
         self._stopping = False
+        self._drained = Waiters()
+        self._stop_timer = None
         transport.bind(self)
 
     def start(self):
@@ -159,12 +161,12 @@
         Deferred of int
             Requests that were still running at the stop timeout.
         """
-        self._stopping = True
-        self._observer.observe(StopStarted())
-        self.membership.announce_leaving()
-        done = Deferred()
-        self._clock.call_later(self.settings.readiness_grace, self._refuse_new, done)
-        return done
+        if not self._stopping:
+            self._stopping = True
+            self._observer.observe(StopStarted())
+            self.membership.announce_leaving()
+            self._clock.call_later(self.settings.readiness_grace, self._refuse_new)
+        return self._drained.wait()
 
     def peer_connected(self, peer):
         """Note a connection."""
@@ -189,9 +191,8 @@
             or self.budgets.peer_message(peer, message)
         )
 
-    def _refuse_new(self, done):
+    def _refuse_new(self):
         self._handler.refuse_new_requests()
-        self._finish_drain = done
         self.context.on_idle = self._hand_back
         self._stop_timer = self._clock.call_later(
             self.settings.stop_timeout, self._hand_back
@@ -203,7 +204,7 @@
         self.context.on_idle = None
         self._stop_timer.cancel()
         left = len(self.context.exchanges)
-        self.budgets.hand_back().addBoth(lambda _: self._finish_drain.callback(left))
+        self.budgets.hand_back().addBoth(lambda _: self._drained.fire(left))
 
     def _find_limits(self, team_name):
         team = self.catalogue.view.team(team_name)
--- a/libs/node/src/balsamspoke_node/settings.py
+++ b/libs/node/src/balsamspoke_node/settings.py
@@ -47,8 +47,19 @@
 
 @dataclass(frozen=True, slots=True)
 class SideSettings:
-    """Settings of a side process."""
+    """Settings of a side process.
 
+    Attributes
+    ----------
+    leaving_grace : timedelta
+        Least time of a planned stop, in which orders that were on their way are
+        refused as not run.
+    last_messages_time : timedelta
+        Between the last answer and the end, so that it can be sent.
+    """
+
+    leaving_grace: timedelta = timedelta(seconds=2)
+    last_messages_time: timedelta = timedelta(milliseconds=200)
     catalogue: CatalogueSettings = field(default_factory=CatalogueSettings)
     membership: MembershipSettings = field(default_factory=MembershipSettings)
     replica: ReplicaSettings = field(default_factory=ReplicaSettings)
--- a/libs/node/src/balsamspoke_node/side.py
+++ b/libs/node/src/balsamspoke_node/side.py
@@ -5,10 +5,11 @@
 from balsamspoke_replica import EngineReplica, ServiceReplica
 from balsamspoke_types.objects import Kind
 from balsamspoke_types.ports import PeerHandler
-from twisted.internet.defer import succeed
+from twisted.internet.defer import Deferred, gatherResults, succeed
 
 from .events import SilentObserver, StopStarted
 from .settings import SideSettings
+from .waiters import Waiters
 
 # A side process needs no teams and no adapters: requests name all they need.
 SIDE_KINDS = (Kind.MODEL, Kind.SERVICE, Kind.KEY)
@@ -96,6 +97,7 @@
         )
         self._connected = set()
         self._stopping = False
+        self._drained = Waiters()
         transport.bind(self)
 
     def start(self):
@@ -123,12 +125,15 @@
         Returns
         -------
         Deferred
-            Fires when nothing runs any more.
+            Fires when nothing runs any more and the last messages had time to
+            be sent. Orders that were on their way are refused meanwhile.
         """
-        self._stopping = True
-        self._observer.observe(StopStarted())
-        self.membership.announce_leaving()
-        return self.replica.drain() if self.replica is not None else succeed(None)
+        if not self._stopping:
+            self._stopping = True
+            self._observer.observe(StopStarted())
+            self.membership.announce_leaving()
+            self._begin_drain()
+        return self._drained.wait()
 
     def peer_connected(self, peer):
         """Note a connection."""
@@ -154,6 +159,18 @@
             peer, message
         )
 
+    def _begin_drain(self):
+        replica = self.replica
+        idle = replica.drain() if replica is not None else succeed(None)
+        told = Deferred()
+        self._clock.call_later(self._settings.leaving_grace, told.callback, None)
+        gatherResults([idle, told]).addCallback(self._send_last_messages)
+
+    def _send_last_messages(self, _):
+        self._clock.call_later(
+            self._settings.last_messages_time, self._drained.fire, None
+        )
+
     def _get_revision(self):
         return self.catalogue.view.revision
 
@@ -164,6 +181,8 @@
         if model is None:
             return
         if self.replica is None:
+            if self._stopping:
+                return
             self._open_replica(self._make_engine_replica(model))
         else:
             self.replica.set_model(model)
--- a/libs/node/tests/test_stops.py
+++ b/libs/node/tests/test_stops.py
@@ -25,6 +25,28 @@
     return fleet, load
 
 
+def find_last_receiver(fleet):
+    """Return the VM that the last order went to."""
+    orders = [
+        peer.vm
+        for _, peer, message in fleet.network.log
+        if type(message).__name__ in ("RunGeneration", "CallService")
+    ]
+    return orders[-1]
+
+
+def stop_as_a_daemon_does(fleet, vm):
+    """Drain a process and end it with its VM as soon as it has drained."""
+    node = fleet.node(vm)
+
+    def finish(_):
+        node.stop()
+        fleet.remove_machine(vm)
+        fleet.publish_vms()
+
+    node.drain().addBoth(finish)
+
+
 class PlannedStopTest(unittest.TestCase):
     """A planned stop cuts no request."""
 
@@ -42,7 +64,7 @@
         self.check(fleet)
 
     def test_an_entry_answers_in_its_grace_time(self):
-        fleet, load = make_loaded_fleet()
+        fleet, _ = make_loaded_fleet()
         entry = fleet.entries()[0]
         ended = []
         running = fleet.complete(entry, "adapter-0", tokens=400)
@@ -82,6 +104,39 @@
         self.assertEqual([a.code for a in answers if not a.is_whole], [])
         self.check(fleet)
 
+    def test_an_order_on_its_way_to_an_idle_side_process_is_answered(self):
+        for number in range(3):
+            fleet, _ = make_loaded_fleet(number)
+            fleet.advance(10)
+            entry = fleet.entries()[number]
+            for send in (fleet.book, fleet.complete):
+                answer = send(entry)
+                vm = find_last_receiver(fleet)
+                stop_as_a_daemon_does(fleet, vm)
+                fleet.advance(30)
+                self.assertEqual((answer.status, answer.code), (200, None))
+
+    def test_a_side_process_without_a_model_takes_none_once_it_drains(self):
+        fleet = Fleet(engines=1)
+        vm = fleet.sides()[0]
+        node = fleet.node(vm)
+        node.drain()
+        fleet.settle()
+        self.assertIsNone(node.replica)
+
+    def test_a_second_order_to_stop_ends_with_the_first(self):
+        fleet = Fleet()
+        fleet.settle()
+        entry = fleet.entries()[0]
+        for vm in (entry, fleet.sides()[0]):
+            ended = []
+            fleet.complete(entry, tokens=400)
+            fleet.node(vm).drain().addBoth(ended.append)
+            fleet.advance(1)
+            fleet.node(vm).drain().addBoth(ended.append)
+            fleet.advance(30)
+            self.assertEqual(len(ended), 2, vm)
+
     @examples(2)
     @given(SEEDS, st.sampled_from(["entry", "model", "service"]))
     def test_an_unplanned_failure_elsewhere_touches_only_its_own(self, seed, role):
