--- /dev/null
+++ b/libs/node/tests/test_adapters.py
@@ -0,0 +1,165 @@
+import unittest
+from datetime import timedelta
+
+from balsamspoke_fakes.properties import examples
+from balsamspoke_types.identifiers import AdapterRef
+from balsamspoke_types.objects import Adapter, Kind
+from hypothesis import given
+from hypothesis import strategies as st
+
+from .checkers import check_always, find_evictions_in_use, find_unanswered
+from .fleet import MODEL, Fleet, expect_text
+from .late_engine import delay_reports
+from .schedules import BACKEND_FAILURES, ScheduleDriver, draw_schedules
+
+SEEDS = st.integers(0, 2**16)
+CATALOGUE_SECONDS = 5
+ADAPTER = "adapter-0"
+
+
+class RightAdapterTest(unittest.TestCase):
+    """Each request runs on the adapter and version it asked for."""
+
+    def setUp(self):
+        self.fleet = Fleet(engines=2)
+        self.fleet.settle()
+
+    def ask(self, name=ADAPTER, key="hotel-key", tokens=5):
+        """Send a request through each entry; return it with its answers."""
+        sent = len(self.fleet.sent)
+        for entry in self.fleet.entries():
+            self.fleet.complete(entry, name, key, tokens)
+        return self.fleet.sent[sent:]
+
+    def expect_version(self, requests, version):
+        for sent in requests:
+            name = sent.adapter.partition(":")[0]
+            expected = expect_text(name, version, sent.tokens, sent.prompt)
+            self.assertEqual(sent.responder.text, expected)
+            self.assertTrue(sent.responder.is_whole)
+
+    def expect_unknown(self, requests):
+        for sent in requests:
+            answer = sent.responder
+            self.assertEqual(
+                (answer.code, answer.outcome), ("unknown_model", "not-run")
+            )
+
+    def put(self, default=1, versions=(1, 2), team="hotel"):
+        adapter = Adapter(ADAPTER, team, MODEL, default, versions)
+        self.fleet.put(Kind.ADAPTER, ADAPTER, adapter)
+
+    def delete(self):
+        self.fleet.store.put(Kind.ADAPTER, ADAPTER, b"", deleted=True)
+
+    def test_the_default_version_changes_under_running_requests(self):
+        running = self.ask(tokens=100)
+        self.fleet.advance(1)
+        self.put(default=2)
+        self.fleet.advance(CATALOGUE_SECONDS)
+        later = self.ask()
+        named = self.ask(f"{ADAPTER}:1")
+        self.fleet.advance(5)
+        self.expect_version(running, 1)
+        self.expect_version(later, 2)
+        self.expect_version(named, 1)
+
+    def test_a_stream_keeps_its_version_when_continued_elsewhere(self):
+        running = self.ask(tokens=150)
+        self.fleet.advance(1)
+        self.put(default=2)
+        self.fleet.advance(2)
+        for engine in self.fleet.engines:
+            engine.restart()
+        self.fleet.advance(30)
+        self.expect_version(running, 1)
+
+    def test_an_adapter_is_deleted_and_made_again(self):
+        self.ask()
+        self.fleet.advance(2)
+        self.delete()
+        self.fleet.advance(CATALOGUE_SECONDS)
+        self.expect_unknown(self.ask())
+        self.put(default=2, versions=(2,))
+        self.fleet.advance(CATALOGUE_SECONDS)
+        again, old = self.ask(), self.ask(f"{ADAPTER}:1")
+        self.fleet.advance(5)
+        self.expect_version(again, 2)
+        self.expect_unknown(old)
+
+    def test_an_adapter_moves_to_another_team(self):
+        running = self.ask(tokens=150)
+        self.fleet.advance(1)
+        self.put(team="marina")
+        self.fleet.advance(CATALOGUE_SECONDS)
+        self.expect_unknown(self.ask())
+        moved = self.ask(key="marina-key")
+        self.fleet.advance(10)
+        self.expect_version(moved, 1)
+        self.expect_version(running, 1)
+
+    @examples(3)
+    @given(draw_schedules(BACKEND_FAILURES, size=30), SEEDS)
+    def test_under_late_reports_and_failures_of_engines(self, schedule, seed):
+        fleet = Fleet(seed, engines=2)
+        delay_reports(fleet, 3)
+        fleet.settle()
+        driver = ScheduleDriver(fleet)
+        driver.run(schedule)
+        driver.heal(60)
+        self.assertEqual(check_always(fleet) + find_unanswered(fleet), [])
+
+
+class AdapterInUseTest(unittest.TestCase):
+    """An adapter in use is never evicted."""
+
+    def run_crowd(self, fleet, disturb=lambda fleet, number: None):
+        """Ask for more adapters than there are slots, with long answers."""
+        for number in range(48):
+            name = f"adapter-{number * 5 % 12}"
+            key = f"{fleet.find_owner(name)}-key"
+            tokens = (60, 5, 20)[number % 3]
+            fleet.complete(fleet.entries()[number % 3], name, key, tokens)
+            fleet.advance(0.25)
+            disturb(fleet, number)
+        fleet.advance(40)
+        self.assertEqual(find_evictions_in_use(fleet), [])
+        self.assertEqual(check_always(fleet), [])
+        # Adapters were evicted all the same, just not in use.
+        self.assertGreater(sum(e.loads for e in fleet.engines), 16)
+
+    def make_fleet(self, seed=0, late=0):
+        fleet = Fleet(seed, engines=2)
+        if late:
+            delay_reports(fleet, late)
+        fleet.settle()
+        return fleet
+
+    def test_while_loads_fail_half_way(self):
+        def disturb(fleet, number):
+            for engine in fleet.engines:
+                engine.failing = {AdapterRef(f"adapter-{number % 12}", 1)}
+
+        self.run_crowd(self.make_fleet(), disturb)
+
+    def test_while_streams_are_continued_elsewhere(self):
+        def disturb(fleet, number):
+            if number % 12 == 6:
+                fleet.engines[number // 12 % 2].restart()
+            if number == 20:
+                fleet.restart(fleet.sides()[0])
+
+        self.run_crowd(self.make_fleet(), disturb)
+
+    @examples(2)
+    @given(SEEDS, st.sampled_from([1, 3, 10]))
+    def test_while_reports_come_late(self, seed, late):
+        self.run_crowd(self.make_fleet(seed, late))
+
+    @examples(2)
+    @given(SEEDS)
+    def test_while_loads_are_slow(self, seed):
+        fleet = self.make_fleet(seed, 3)
+        for engine in fleet.engines:
+            engine.load_time = timedelta(seconds=2)
+        self.run_crowd(fleet)
