Let a side process drain once the VM list says that its VM is leaving

Cause: only the entries acted on the VM list; one that can't read it sent work on for as long as that lasted, and what was queued was still started. After: 5 tests of test_leaving pass in 9.5 s. Also seen, not mended here: 40 requests of 6 s at once on two engines without any failure end 12 times as backend_lost/unknown, as the entry's silence limit passes while they queue.

--- a/libs/node/src/balsamspoke_node/side.py
+++ b/libs/node/src/balsamspoke_node/side.py
@@ -4,7 +4,7 @@
 from balsamspoke_membership import Membership, MemberState
 from balsamspoke_replica import EngineReplica, ServiceReplica
 from balsamspoke_types.objects import Kind
-from balsamspoke_types.ports import PeerHandler
+from balsamspoke_types.ports import PeerHandler, VmState
 from twisted.internet.defer import Deferred, gatherResults, succeed
 
 from .events import SilentObserver, StopStarted
@@ -91,7 +91,7 @@
             settings.membership,
             get_revision=self._get_revision,
             on_change=self._note_members,
-            on_vms=lambda records, asked_at: None,
+            on_vms=self._note_vms,
             is_wanted=lambda vm: False,
             on_status=self.catalogue.note_revision,
         )
@@ -171,6 +171,12 @@
             self._settings.last_messages_time, self._drained.fire, None
         )
 
+    def _note_vms(self, records, _asked_at):
+        """Take no new work once the VM list says that the own VM is leaving."""
+        for record in records:
+            if record.vm == self.identity.vm and record.state is VmState.LEAVING:
+                self.drain()
+
     def _get_revision(self):
         return self.catalogue.view.revision
 
--- /dev/null
+++ b/libs/node/tests/test_leaving.py
@@ -0,0 +1,99 @@
+import unittest
+from datetime import timedelta
+
+from balsamspoke_fakes.properties import examples
+from balsamspoke_membership import MembershipSettings
+from hypothesis import given
+from hypothesis import strategies as st
+
+from .checkers import check_always, find_late_starts
+from .fleet import MODEL, SERVICE, Fleet
+from .rolling import BalancedLoad, find_not_whole
+
+SEEDS = st.integers(0, 2**16)
+LAGS = st.sampled_from([0, 3, 8])
+MESSAGE_TIME = timedelta(milliseconds=50)
+DRAIN_BOUND = timedelta(0)
+
+
+def get_list_bound(lag):
+    """Return the bound of a leaving that only the VM list tells of."""
+    return timedelta(seconds=lag) + MembershipSettings().list_interval + MESSAGE_TIME
+
+
+class LeavingBackendTest(unittest.TestCase):
+    """A leaving backend server gets no new work after the stated seconds."""
+
+    def check(self, seed, service, bound, lag, leave, cut=lambda fleet, vm: None):
+        fleet = Fleet(seed, engines=2)
+        fleet.settle()
+        fleet.vms.lag = timedelta(seconds=lag)
+        load = BalancedLoad(fleet)
+        load.run(2)
+        vm = fleet.sides(service)[seed % 2]
+        backend = fleet.machines[vm].backend
+        cut(fleet, vm)
+        for number in range(24):
+            # More than the batches of the engines take, so that some queue.
+            name = f"adapter-{number % 8}"
+            key = f"{fleet.find_owner(name)}-key"
+            fleet.complete(fleet.entries()[number % 3], name, key, tokens=60)
+        load.run(0.5)
+        before = len(backend.starts)
+        self.assertGreater(before, 0)
+        leaving_at = fleet.time.elapsed
+        leave(fleet, vm)
+        load.run(14)
+        self.assertEqual(find_late_starts(backend, leaving_at, bound), [])
+        others = [
+            fleet.machines[one].backend for one in fleet.sides(service) if one != vm
+        ]
+        started = [at for one in others for at, _ in one.starts]
+        self.assertGreater(max(started), leaving_at + bound)
+        fleet.advance(30)
+        self.assertEqual(find_not_whole(fleet), [])
+        self.assertEqual(check_always(fleet), [])
+
+    @examples(1)
+    @given(SEEDS, st.sampled_from([MODEL, SERVICE]), LAGS)
+    def test_announced_by_the_vm_list_only(self, seed, service, lag):
+        self.check(seed, service, get_list_bound(lag), lag, Fleet.mark_leaving)
+
+    @examples(1)
+    @given(SEEDS, st.sampled_from([MODEL, SERVICE]))
+    def test_announced_by_the_side_process_only(self, seed, service):
+        self.check(seed, service, DRAIN_BOUND, 0, _drain)
+
+    @examples(1)
+    @given(SEEDS, st.sampled_from([MODEL, SERVICE]), LAGS)
+    def test_announced_by_both(self, seed, service, lag):
+        def leave(fleet, vm):
+            fleet.mark_leaving(vm)
+            _drain(fleet, vm)
+
+        self.check(seed, service, DRAIN_BOUND, lag, leave)
+
+    @examples(1)
+    @given(SEEDS, st.sampled_from([MODEL, SERVICE]), LAGS)
+    def test_with_entries_cut_from_the_vm_list(self, seed, service, lag):
+        def cut(fleet, _vm):
+            for entry in fleet.entries():
+                fleet.machines[entry].vm_list.reachable = False
+
+        bound = get_list_bound(lag)
+        self.check(seed, service, bound, lag, Fleet.mark_leaving, cut)
+
+    @examples(1)
+    @given(SEEDS)
+    def test_with_the_side_process_cut_from_the_vm_list(self, seed):
+        """Nothing queues at a plain service here, so the entries' part shows."""
+
+        def cut(fleet, vm):
+            fleet.machines[vm].vm_list.reachable = False
+
+        bound = get_list_bound(0)
+        self.check(seed, SERVICE, bound, 0, Fleet.mark_leaving, cut)
+
+
+def _drain(fleet, vm):
+    fleet.node(vm).drain()
