--- a/libs/standins/src/balsamspoke_standins/deployment/fleet.py
+++ b/libs/standins/src/balsamspoke_standins/deployment/fleet.py
@@ -1,5 +1,6 @@
 """The processes of a small deployment: started, made ready and stopped."""
 
+import time
 import urllib.request
 from dataclasses import dataclass
 from datetime import timedelta
@@ -89,6 +90,8 @@
         self.sides = []
         self.entries = []
         self._vms = []
+        self._commands = {}
+        self._health_urls = {}
         self.entry_urls = []
         self.status_urls = {}
         self.backend_urls = {}
@@ -156,6 +159,32 @@
                     troubles.append(f"{program.name} ended with status {status}")
         return troubles
 
+    def restart(self, name):
+        """Stop an entry or side process as planned and start it again.
+
+        Returns
+        -------
+        timedelta
+            How long the process took to end.
+
+        Raises
+        ------
+        ProgramFailed
+            If it didn't end well, or isn't ready in time again.
+        """
+        group = self.entries if name.startswith("entry") else self.sides
+        old = self.find_program(name)
+        began = time.monotonic()
+        old.terminate()
+        status = old.wait(STOP_TIMEOUT)
+        took = timedelta(seconds=time.monotonic() - began)
+        if status != 0:
+            raise ProgramFailed(f"{name} ended with status {status}")
+        new = self._run_daemon(*self._commands[name])
+        group[group.index(old)] = new
+        new.wait_for(self._health_urls[name], READY_TIMEOUT)
+        return took
+
     def _start_platform(self):
         host = self._addresses.take()
         self.object_api = f"http://{host}:{OBJECT_API_PORT}"
@@ -218,6 +247,11 @@
         _put(f"{self.vm_list}/vms", orjson.dumps(self._vms), {})
 
     def _run_daemon(self, role, record, host, flags):
+        name = record["vm"]
+        self._commands[name] = (role, record, host, flags)
+        port = CALLER_PORT if role == "entry" else STATUS_PORT
+        path = "/health/ready" if role == "entry" else "/status"
+        self._health_urls[name] = f"http://{host}:{port}{path}"
         arguments = [
             role,
             f"--vm={record['vm']}",
--- a/libs/standins/src/balsamspoke_standins/load.py
+++ b/libs/standins/src/balsamspoke_standins/load.py
@@ -13,6 +13,7 @@
 import orjson
 from balsamspoke_platform import HttpCaller, build_agent
 
+from .load_balancer import Balancer
 from .load_plan import LoadPlan, LoadSettings, read_teams
 from .load_report import format_report, make_report
 from .load_run import LoadRun
@@ -37,6 +38,13 @@
     parser.add_argument("--timeout", type=float, default=defaults.timeout)
     parser.add_argument("--seed", type=int, default=0)
     parser.add_argument("--verify", action="store_true")
+    parser.add_argument(
+        "--health-interval",
+        type=float,
+        default=0.0,
+        metavar="SECONDS",
+        help="ask the entries for readiness, and send only to those ready",
+    )
     parser.add_argument("--output", choices=("text", "json"), default="text")
     return parser
 
@@ -58,7 +66,9 @@
     reactor = get_reactor()
     agent = build_agent(reactor, CONNECTIONS)
     callers = [HttpCaller(agent, reactor, url) for url in arguments.entry]
-    run = LoadRun(reactor, callers, plan)
+    balancer = Balancer(reactor, callers, arguments.health_interval)
+    balancer.start()
+    run = LoadRun(reactor, balancer.ready, plan)
     run.start().addBoth(lambda _: reactor.stop())
     reactor.run()
     report = make_report(run.tallies)
