Call a fresh entry ready only once it can route

Cause: an entry was ready as soon as its catalogue was complete, before it was connected to any side process; a balancer sent it requests that it refused with no_replica. An entry is ready once it knows a usable replica of each service that the VM list shows, or after replica_wait (5 s). Without the mechanism test_a_fresh_entry_is_ready_once_it_can_route fails: True is not false.

--- a/libs/node/src/balsamspoke_node/entry.py
+++ b/libs/node/src/balsamspoke_node/entry.py
@@ -111,6 +111,9 @@
         )
         self._handler = RequestHandler(self.context)
         self._routed = set()
+        self._listed_services = None
+        self._started_at = None
+        self._found_replicas = False
         self._stopping = False
         self._drained = Waiters()
         self._stop_timer = None
@@ -118,6 +121,7 @@
 
     def start(self):
         """Start to take part; requests are taken once the catalogue is complete."""
+        self._started_at = self._clock.monotonic()
         self.catalogue.start()
         self.membership.start()
         self.budgets.start()
@@ -131,7 +135,11 @@
     @property
     def is_ready(self):
         """Whether the balancer should send requests."""
-        return self.catalogue.view.is_complete and not self._stopping
+        return (
+            self.catalogue.view.is_complete
+            and not self._stopping
+            and self._has_found_replicas()
+        )
 
     @property
     def running_requests(self):
@@ -206,6 +214,18 @@
         left = len(self.context.exchanges)
         self.budgets.hand_back().addBoth(lambda _: self._drained.fire(left))
 
+    def _has_found_replicas(self):
+        """Tell whether a fresh process can route, or has waited long enough."""
+        if self._found_replicas or self._started_at is None:
+            return self._found_replicas
+        waited = self._clock.monotonic() - self._started_at
+        if waited >= self.settings.replica_wait:
+            self._found_replicas = True
+        elif self._listed_services is not None:
+            usable = {one.service for one in self.directory.describe() if one.usable}
+            self._found_replicas = self._listed_services <= usable
+        return self._found_replicas
+
     def _find_limits(self, team_name):
         team = self.catalogue.view.team(team_name)
         return Limits(team.rate, team.burst) if team is not None else None
@@ -224,6 +244,11 @@
 
     def _note_vms(self, records, asked_at):
         self.budgets.note_vms(records, asked_at)
+        self._listed_services = {
+            record.service
+            for record in records
+            if record.role == SIDE_ROLE and record.state is VmState.LIVE
+        }
 
     def _note_members(self):
         entries = self.membership.members(role=ENTRY_ROLE)
--- a/libs/node/tests/test_stops.py
+++ b/libs/node/tests/test_stops.py
@@ -124,6 +124,32 @@
         fleet.settle()
         self.assertIsNone(node.replica)
 
+    def test_a_fresh_entry_is_ready_once_it_can_route(self):
+        fleet, _ = make_loaded_fleet()
+        entry = fleet.entries()[0]
+        fleet.network.cut_between([entry], fleet.sides() + fleet.sides(SERVICE))
+        fleet.restart(entry)
+        fleet.advance(1.5)
+        self.assertTrue(fleet.node(entry).catalogue.view.is_complete)
+        self.assertFalse(fleet.node(entry).is_ready)
+        fleet.network.heal()
+        while not fleet.node(entry).is_ready:
+            fleet.advance(0.1)
+        answers = [fleet.complete(entry), fleet.book(entry)]
+        fleet.advance(5)
+        self.assertEqual([one.status for one in answers], [200, 200])
+
+    def test_a_fresh_entry_is_ready_in_the_end_without_replicas(self):
+        fleet, _ = make_loaded_fleet()
+        for vm in fleet.sides(SERVICE):
+            fleet.kill(vm)
+        entry = fleet.entries()[0]
+        fleet.restart(entry)
+        fleet.advance(4)
+        self.assertFalse(fleet.node(entry).is_ready)
+        fleet.advance(2)
+        self.assertTrue(fleet.node(entry).is_ready)
+
     def test_a_second_order_to_stop_ends_with_the_first(self):
         fleet = Fleet()
         fleet.settle()
