--- a/benchmarks/rolling_replacement.py
+++ b/benchmarks/rolling_replacement.py
@@ -39,6 +39,13 @@
     parser.add_argument("--bookings", type=float, default=0.3, help="part of requests")
     parser.add_argument("--seconds", type=float, default=LOAD_SECONDS, help="of load")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--pause",
+        type=float,
+        default=PAUSE_SECONDS,
+        metavar="SECONDS",
+        help="between a process being started again and the next stop",
+    )
     return parser
 
 
@@ -61,7 +68,7 @@
         deployment.start(catalogue.objects)
         load = start_load(options, deployment, catalogue, directory)
         time.sleep(WARM_UP_SECONDS)
-        troubles += replace_all(deployment, load)
+        troubles += replace_all(deployment, load, options.pause)
         left = max(1.0, end - time.monotonic())
         load.wait(timedelta(seconds=left))
         troubles += report(orjson.loads(load.log.read_bytes())["(all)"])
@@ -94,7 +101,7 @@
     return Program.start("load", "balsamspoke_standins.load", arguments, directory)
 
 
-def replace_all(deployment, load):
+def replace_all(deployment, load, pause):
     """Restart each entry and side process; return what went wrong."""
     names = [one.name for one in (*deployment.entries, *deployment.sides)]
     seconds = []
@@ -102,7 +109,7 @@
         took = deployment.restart(name).total_seconds()
         seconds.append(took)
         print(f"{name} ended in {took:.1f} s", flush=True)
-        time.sleep(PAUSE_SECONDS)
+        time.sleep(pause)
     median, longest = statistics.median(seconds), max(seconds)
     print(f"{len(names)} stops: median {median:.1f} s, longest {longest:.1f} s")
     if load.process.poll() is not None:
