--- a/libs/node/src/balsamspoke_node/entry.py
+++ b/libs/node/src/balsamspoke_node/entry.py
@@ -11,13 +11,13 @@
 )
 from balsamspoke_types.objects import Kind
 from balsamspoke_types.ports import PeerHandler, VmState
-from twisted.internet.defer import Deferred
 
 from .context import EntryContext
 from .events import CatalogueChanged, ObserverGroup, SilentObserver, StopStarted
 from .explanations import Explanations
 from .frontdoor import RequestHandler
 from .settings import EntrySettings
+from .waiters import Waiters
 from .watchers import choose_watchers
 
 ENTRY_ROLE = "entry"
@@ -118,11 +118,17 @@
         self._handler = RequestHandler(self.context)
         self._routed = set()
         self._silent = set()
+        self._listed_services = None
+        self._started_at = None
+        self._found_replicas = False
         self._stopping = False
+        self._drained = Waiters()
+        self._stop_timer = None
         transport.bind(self)
 
     def start(self):
         """Start to take part; requests are taken once the catalogue is complete."""
+        self._started_at = self._clock.monotonic()
         self.catalogue.start()
         self.membership.start()
         self.budgets.start()
@@ -138,7 +144,11 @@
     @property
     def is_ready(self):
         """Whether the balancer should send requests."""
-        return self.catalogue.view.is_complete and not self._stopping
+        return (
+            self.catalogue.view.is_complete
+            and not self._stopping
+            and self._has_found_replicas()
+        )
 
     @property
     def running_requests(self):
@@ -168,12 +178,12 @@
         Deferred of int
             Requests that were still running at the stop timeout.
         """
-        self._stopping = True
-        self._observer.observe(StopStarted())
-        self.membership.announce_leaving()
-        done = Deferred()
-        self._clock.call_later(self.settings.readiness_grace, self._refuse_new, done)
-        return done
+        if not self._stopping:
+            self._stopping = True
+            self._observer.observe(StopStarted())
+            self.membership.announce_leaving()
+            self._clock.call_later(self.settings.readiness_grace, self._refuse_new)
+        return self._drained.wait()
 
     def peer_connected(self, peer):
         """Note a connection."""
@@ -198,9 +208,8 @@
             or self.budgets.peer_message(peer, message)
         )
 
-    def _refuse_new(self, done):
+    def _refuse_new(self):
         self._handler.refuse_new_requests()
-        self._finish_drain = done
         self.context.on_idle = self._hand_back
         self._stop_timer = self._clock.call_later(
             self.settings.stop_timeout, self._hand_back
@@ -212,7 +221,19 @@
         self.context.on_idle = None
         self._stop_timer.cancel()
         left = len(self.context.exchanges)
-        self.budgets.hand_back().addBoth(lambda _: self._finish_drain.callback(left))
+        self.budgets.hand_back().addBoth(lambda _: self._drained.fire(left))
+
+    def _has_found_replicas(self):
+        """Tell whether a fresh process can route, or has waited long enough."""
+        if self._found_replicas or self._started_at is None:
+            return self._found_replicas
+        waited = self._clock.monotonic() - self._started_at
+        if waited >= self.settings.replica_wait:
+            self._found_replicas = True
+        elif self._listed_services is not None:
+            usable = {one.service for one in self.directory.describe() if one.usable}
+            self._found_replicas = self._listed_services <= usable
+        return self._found_replicas
 
     def _find_limits(self, team_name):
         team = self.catalogue.view.team(team_name)
@@ -232,6 +253,11 @@
 
     def _note_vms(self, records, asked_at):
         self.budgets.note_vms(records, asked_at)
+        self._listed_services = {
+            record.service
+            for record in records
+            if record.role == SIDE_ROLE and record.state is VmState.LIVE
+        }
 
     def _note_members(self):
         entries = self.membership.members(role=ENTRY_ROLE)
