Split the engine's replica into modules of one job each

Ruled out: a base class between Replica and EngineReplica, since it would only move lines and share all attributes.

--- /dev/null
+++ b/libs/replica/src/balsamspoke_replica/admission.py
@@ -0,0 +1,43 @@
+"""Whether an engine's replica takes a request into its queue."""
+
+from balsamspoke_types.outcomes import Cause
+
+
+class EngineAdmission:
+    """Refuse what the engine can't run now.
+
+    Parameters
+    ----------
+    settings : ReplicaSettings
+        Bounds of the queue.
+    watch : EngineWatch
+        Says whether the engine answers.
+    loader : AdapterLoader
+        Says which adapters can't be loaded.
+    holdership : Holdership
+        Says whether orders may be given.
+    """
+
+    def __init__(self, settings, watch, loader, holdership):
+        self._settings = settings
+        self._watch = watch
+        self._loader = loader
+        self._holdership = holdership
+
+    def find_refusal(self, order, model_name):
+        """Return the Cause for which a RunGeneration is refused, or None."""
+        if order.model != model_name or self._holdership.is_lost:
+            return Cause.NO_REPLICA
+        if self._watch.has_answered and not self._watch.is_up:
+            return Cause.BACKEND_LOST
+        if self._loader.get_refusal_wait(order.adapter) is not None:
+            return Cause.LOAD_FAILED
+        return None
+
+    def has_room(self, queued_requests, queued_tokens, tokens):
+        """Return whether a request of so many tokens fits into the queue."""
+        settings = self._settings
+        return (
+            queued_requests < settings.queued_requests
+            and queued_tokens + tokens <= settings.queued_tokens
+        )
--- a/libs/replica/src/balsamspoke_replica/engine.py
+++ b/libs/replica/src/balsamspoke_replica/engine.py
@@ -11,23 +11,21 @@
     RunGeneration,
 )
 from balsamspoke_types.outcomes import Cause
-from balsamspoke_types.ports import GenerationOrder
 
+from .admission import EngineAdmission
 from .base import Replica
-from .events import HoldershipLost, RequestStarted
 from .exceptions import ReplicaStateError
+from .generations import RunningGenerations
 from .health import EngineWatch
+from .holdership import Holdership
 from .ledger import AttemptState
-from .loader import CONFLICT, AdapterLoader
-from .queueing import RANKS, FairQueue, QueuedRequest, count_tokens
+from .loader import AdapterLoader
+from .orders import CONFLICT, NOT_FOUND, get_refusal_cause
+from .pump import Pump
+from .queueing import FairQueue, QueuedRequest, count_tokens
 from .settings import DEFAULT_SETTINGS
 from .slots import PopularitySlotPolicy
-from .streams import Stream
 
-NOT_FOUND = 404
-TOO_MANY = 429
-UNAVAILABLE = 503
-MALFORMED = (400, 413, 422)
 LAG_POLLS = 3
 
 
@@ -82,9 +80,9 @@
     ):
         super().__init__(process, clock, send, is_key_valid, settings, on_event)
         self.model = model
-        self._engine = engine
-        self._fencing = fencing
-        self._is_holder = is_holder
+        self._holdership = Holdership(
+            fencing, is_holder, self._end_holdership, self._on_event
+        )
         self._queue = queue_policy or FairQueue(settings.aging_time)
         self._slot_policy = slot_policy or PopularitySlotPolicy()
         self._loader = AdapterLoader(
@@ -97,19 +95,29 @@
             self._queue,
             self._may_order,
             self._take_slot_change,
-            self._lose_holdership,
+            self._holdership.lose,
             self._doubt_engine,
             self._on_event,
         )
         self._loader.set_capacity(model.adapter_slots)
         self._watch = EngineWatch(clock, engine, settings, self, self._on_event)
-        self._streams = {}
-        self._running = {}
+        self._generations = RunningGenerations(
+            clock,
+            engine,
+            fencing,
+            settings,
+            self._loader,
+            self._queue,
+            self._outbox,
+            self,
+            self._on_event,
+        )
+        self._admission = EngineAdmission(
+            settings, self._watch, self._loader, self._holdership
+        )
+        self._pump_loop = Pump(self._start_what_fits)
         self._recent_running = deque(maxlen=LAG_POLLS)
-        self._lost_holdership = False
         self._is_load_doubtful = False
-        self._is_pumping = False
-        self._is_pump_wanted = False
         self._overdue_timer = None
 
     def start(self):
@@ -121,9 +129,7 @@
         """Stop at once: generations are cancelled, nothing is sent any more."""
         super().stop()
         self._watch.stop()
-        for stream in list(self._streams.values()):
-            stream.cancel()
-        self._streams.clear()
+        self._generations.stop()
 
     def set_model(self, model):
         """Go by changed sizes of batch and slots.
@@ -146,23 +152,19 @@
                 self._take_generation(peer, message)
             return True
         if isinstance(message, CreditTokens):
-            stream = self._streams.get(message.attempt)
-            if stream is not None:
-                stream.add_credit(message.count)
+            self._generations.add_credit(message.attempt, message.count)
             return True
         return not self._stopped and self._take_common(peer, message)
 
     def peer_connected(self, peer):
         """Go on with the streams of a peer."""
         super().peer_connected(peer)
-        for stream in self._list_streams(peer):
-            stream.set_connected(True)
+        self._generations.set_connected(peer, True)
 
     def peer_disconnected(self, peer):
         """Hold the streams of a peer, and cancel them if it stays away."""
         super().peer_disconnected(peer)
-        for stream in self._list_streams(peer):
-            stream.set_connected(False)
+        self._generations.set_connected(peer, False)
         grace = self._settings.disconnect_grace
         self._clock.call_later(grace, self._cancel_disconnected, peer)
 
@@ -171,7 +173,7 @@
         return ReplicaReport(
             self.model.name,
             self._next_sequence(),
-            len(self._running),
+            self._generations.at_engine,
             len(self._queued),
             self._queued_tokens,
             self.model.batch_size,
@@ -185,8 +187,8 @@
             "model": self.model.name,
             "accepting": self._is_accepting(),
             "engine_up": self._watch.is_up,
-            "holder": not self._lost_holdership,
-            "running": len(self._running),
+            "holder": not self._holdership.is_lost,
+            "running": self._generations.at_engine,
             "queued": len(self._queued),
             "queued_tokens": self._queued_tokens,
             "adapters": [str(adapter) for adapter in self._loader.get_loaded()],
@@ -205,7 +207,7 @@
         elif self._is_load_doubtful:
             self._loader.reconcile(report.adapters)
         self._is_load_doubtful = False
-        self._recent_running.append(len(self._running))
+        self._recent_running.append(self._generations.at_engine)
         is_covered = len(self._recent_running) == LAG_POLLS
         if is_covered and waiting <= min(self._recent_running):
             self._loader.clear_orphans()
@@ -215,22 +217,54 @@
     def engine_restarted(self):
         """Count slots as empty and end all streams, as EngineWatch calls it."""
         self._loader.forget_all()
-        for stream in list(self._running.values()):
-            self._fail_stream(stream, Cause.BACKEND_LOST)
+        self._generations.fail_at_engine(Cause.BACKEND_LOST)
 
     def engine_down(self):
         """Refuse what is queued, as EngineWatch calls it."""
         self._note_accepting()
         self._refuse_all(Cause.BACKEND_LOST)
 
+    def generation_left(self, duration):
+        """Take back a place in the batch, as RunningGenerations calls it."""
+        self._note_duration(duration)
+        self.pins_released()
+
+    def pins_released(self):
+        """Use what became free, as RunningGenerations calls it."""
+        if not self._stopped:
+            self._pump()
+
+    def generation_ended(self, request, finished, error):
+        """Take the end of a generation, as RunningGenerations calls it."""
+        if self._stopped:
+            return
+        attempt = request.order.attempt
+        self._ledger.set(attempt, AttemptState.HANDED_OVER)
+        if finished is not None:
+            self._outbox.send(request.peer, finished)
+        elif isinstance(error, BackendRefused):
+            self._take_back(request, error)
+        elif isinstance(error, BackendUnreachable):
+            self._refuse(request.peer, request.order, Cause.BACKEND_LOST)
+            self._watch.note_down(str(error))
+        else:
+            failed = AttemptFailed(attempt, Cause.BACKEND_LOST)
+            self._outbox.send(request.peer, failed)
+            self._watch.ask()
+        self._check_drained()
+
     def _take_generation(self, peer, order):
         self._reporter.note_request(peer)
         now = self._clock.monotonic()
         tokens = count_tokens(order)
         if order.adapter is not None:
             self._slot_policy.note_request(order.adapter, now)
-        cause = self._find_refusal(peer, order) or self._find_engine_refusal(order)
-        if cause is None and not self._has_room(tokens):
+        cause = self._find_refusal(peer, order) or self._admission.find_refusal(
+            order, self.model.name
+        )
+        if cause is None and not self._admission.has_room(
+            len(self._queued), self._queued_tokens, tokens
+        ):
             cause = Cause.OVERLOADED
         if cause is not None:
             self._refuse(peer, order, cause, self._get_retry_after(cause, order))
@@ -239,15 +273,6 @@
         self._enqueue(request)
         self._pump()
 
-    def _find_engine_refusal(self, order):
-        if order.model != self.model.name or self._lost_holdership:
-            return Cause.NO_REPLICA
-        if self._watch.has_answered and not self._watch.is_up:
-            return Cause.BACKEND_LOST
-        if self._loader.get_refusal_wait(order.adapter) is not None:
-            return Cause.LOAD_FAILED
-        return None
-
     def _get_retry_after(self, cause, order):
         if cause is Cause.LOAD_FAILED:
             return self._loader.get_refusal_wait(order.adapter)
@@ -255,13 +280,6 @@
             return self._estimate_wait(self.model.batch_size)
         return timedelta(0)
 
-    def _has_room(self, tokens):
-        settings = self._settings
-        return (
-            len(self._queued) < settings.queued_requests
-            and self._queued_tokens + tokens <= settings.queued_tokens
-        )
-
     def _enqueue(self, request):
         super()._enqueue(request)
         self._queue.add(request)
@@ -271,21 +289,12 @@
         self._queue.remove(request)
 
     def _pump(self):
-        self._is_pump_wanted = True
-        if self._is_pumping:
-            return
-        self._is_pumping = True
-        try:
-            while self._is_pump_wanted:
-                self._is_pump_wanted = False
-                self._start_what_fits()
-        finally:
-            self._is_pumping = False
-        self._check_drained()
+        if self._pump_loop.run():
+            self._check_drained()
 
     def _start_what_fits(self):
         while self._queued and self._watch.is_up and self._may_order():
-            if len(self._running) >= self.model.batch_size:
+            if self._generations.at_engine >= self.model.batch_size:
                 break
             now = self._clock.monotonic()
             request = self._queue.select(now, self._loader.list_runnable())
@@ -318,141 +327,53 @@
         self._dequeue(request)
         self._ledger.set(order.attempt, AttemptState.HANDED_OVER)
         self._queue.charge(order, request.tokens)
-        stream = Stream(
-            request,
-            now,
-            self._outbox,
-            self._settings.stream_buffer,
-            self._release,
-            self._end_stream,
-        )
-        stream.slot = self._loader.pin(order.adapter)
-        self._streams[order.attempt] = stream
-        self._running[order.attempt] = stream
-        self._on_event(RequestStarted(order.attempt, order.team, now - request.arrival))
-        stream.attach(self._engine.generate(self._build_order(order), stream))
-
-    def _build_order(self, order):
-        return GenerationOrder(
-            str(order.attempt),
-            order.adapter,
-            order.body,
-            order.max_tokens,
-            order.resume_offset,
-            order.resume_text,
-            RANKS[order.priority],
-            self._fencing,
-        )
-
-    def _release(self, stream, was_cancelled):
-        """Take back a stream's place in the batch, and later its pin."""
-        order = stream.request.order
-        self._running.pop(order.attempt, None)
-        self._note_duration(self._clock.monotonic() - stream.started)
-        self._queue.charge(order, stream.produced - order.max_tokens)
-        if was_cancelled:
-            delay = self._settings.release_delay
-            self._clock.call_later(delay, self._unpin, stream.slot)
-        else:
-            self._loader.unpin(stream.slot)
-        if not self._stopped:
-            self._pump()
-
-    def _unpin(self, slot):
-        self._loader.unpin(slot)
-        if not self._stopped:
-            self._pump()
-
-    def _end_stream(self, stream, finished, error):
-        request = stream.request
-        attempt = request.order.attempt
-        self._streams.pop(attempt, None)
-        if self._stopped:
-            return
-        self._ledger.set(attempt, AttemptState.HANDED_OVER)
-        if finished is not None:
-            self._outbox.send(request.peer, finished)
-        elif isinstance(error, BackendRefused):
-            self._take_back(request, error)
-        elif isinstance(error, BackendUnreachable):
-            self._refuse(request.peer, request.order, Cause.BACKEND_LOST)
-            self._watch.note_down(str(error))
-        else:
-            failed = AttemptFailed(attempt, Cause.BACKEND_LOST)
-            self._outbox.send(request.peer, failed)
-            self._watch.ask()
-        self._check_drained()
+        self._generations.start(request, now)
 
     def _take_back(self, request, error):
         """Settle a request that the engine says it did not run."""
         order = request.order
         is_missing = error.status == NOT_FOUND and order.adapter is not None
         can_wait = request.peer in self._peers and self._draining is None
-        if is_missing and can_wait and not self._lost_holdership:
+        if is_missing and can_wait and not self._holdership.is_lost:
             self._loader.forget(order.adapter)
             self._enqueue(request)
             self._watch.ask()
             self._pump()
             return
-        self._refuse(request.peer, order, _get_cause(error.status))
+        self._refuse(request.peer, order, get_refusal_cause(error.status))
         if error.status == CONFLICT:
-            self._lose_holdership()
-
-    def _fail_stream(self, stream, cause):
-        attempt = stream.request.order.attempt
-        self._streams.pop(attempt, None)
-        stream.cancel()
-        if not self._stopped:
-            self._outbox.send(stream.request.peer, AttemptFailed(attempt, cause))
+            self._holdership.lose()
 
     def _cancel_running(self, attempt):
-        stream = self._streams.get(attempt)
-        if stream is not None:
-            self._fail_stream(stream, Cause.CANCELLED)
+        self._generations.fail(attempt, Cause.CANCELLED)
 
     def _cancel_disconnected(self, peer):
         if peer not in self._peers:
-            for stream in self._list_streams(peer):
-                self._fail_stream(stream, Cause.CANCELLED)
+            self._generations.fail_of(peer, Cause.CANCELLED)
 
     def _end_drain(self):
-        for stream in list(self._streams.values()):
-            self._fail_stream(stream, Cause.STOPPING)
+        self._generations.fail_all(Cause.STOPPING)
         self._check_drained()
 
-    def _list_streams(self, peer):
-        return [
-            stream for stream in self._streams.values() if stream.request.peer == peer
-        ]
-
     def _count_running(self):
-        return len(self._streams)
+        return len(self._generations)
 
     def _is_running(self, attempt):
-        return attempt in self._streams
+        return attempt in self._generations
 
     def _is_accepting(self):
         return (
             self._started
             and not self._stopped
             and self._draining is None
-            and not self._lost_holdership
+            and not self._holdership.is_lost
             and self._watch.is_up
         )
 
     def _may_order(self):
-        if self._stopped or self._lost_holdership:
-            return False
-        if not self._is_holder():
-            self._lose_holdership()
-            return False
-        return True
-
-    def _lose_holdership(self):
-        if self._lost_holdership:
-            return
-        self._lost_holdership = True
-        self._on_event(HoldershipLost(self._fencing))
+        return not self._stopped and self._holdership.check()
+
+    def _end_holdership(self):
         self._note_accepting()
         self._refuse_all(Cause.NO_REPLICA)
 
@@ -476,13 +397,3 @@
             if wait is not None:
                 self._refuse_queued(request, Cause.LOAD_FAILED, wait)
         self._pump()
-
-
-def _get_cause(status):
-    if status in MALFORMED:
-        return Cause.MALFORMED
-    if status in (TOO_MANY, UNAVAILABLE):
-        return Cause.OVERLOADED
-    if status == CONFLICT:
-        return Cause.NO_REPLICA
-    return Cause.BACKEND_FAILED
--- /dev/null
+++ b/libs/replica/src/balsamspoke_replica/generations.py
@@ -0,0 +1,159 @@
+"""The generations that one engine runs: places in the batch, pins and ends."""
+
+from balsamspoke_types.messages import AttemptFailed
+
+from .events import RequestStarted
+from .orders import build_generation_order
+from .streams import Stream
+
+
+class RunningGenerations:
+    """Start generations, and tell a listener when they leave and when they end.
+
+    Parameters
+    ----------
+    clock : Clock
+        Time.
+    engine : Engine
+        Runs them.
+    fencing : int
+        Fencing number of the orders.
+    settings : ReplicaSettings
+        Bounds.
+    loader : AdapterLoader
+        Keeps their adapters loaded.
+    queue : QueuePolicy
+        Told of the tokens that were not produced.
+    outbox : Outbox
+        Takes the answers.
+    listener : EngineReplica
+        Its ``generation_left``, ``pins_released`` and ``generation_ended`` are
+        called.
+    on_event : callable
+        Called with events.
+    """
+
+    def __init__(
+        self,
+        clock,
+        engine,
+        fencing,
+        settings,
+        loader,
+        queue,
+        outbox,
+        listener,
+        on_event,
+    ):
+        self._clock = clock
+        self._engine = engine
+        self._fencing = fencing
+        self._settings = settings
+        self._loader = loader
+        self._queue = queue
+        self._outbox = outbox
+        self._listener = listener
+        self._on_event = on_event
+        self._streams = {}
+        self._at_engine = {}
+        self._stopped = False
+
+    def __len__(self):
+        return len(self._streams)
+
+    def __contains__(self, attempt):
+        return attempt in self._streams
+
+    @property
+    def at_engine(self):
+        """Generations that take a place in the batch."""
+        return len(self._at_engine)
+
+    def start(self, request, now):
+        """Hand a QueuedRequest to the engine."""
+        order = request.order
+        stream = Stream(
+            request,
+            now,
+            self._outbox,
+            self._settings.stream_buffer,
+            self._release,
+            self._end,
+        )
+        stream.slot = self._loader.pin(order.adapter)
+        self._streams[order.attempt] = stream
+        self._at_engine[order.attempt] = stream
+        self._on_event(RequestStarted(order.attempt, order.team, now - request.arrival))
+        generation_order = build_generation_order(order, self._fencing)
+        stream.attach(self._engine.generate(generation_order, stream))
+
+    def add_credit(self, attempt, count):
+        """Allow a generation more tokens; does nothing if it isn't there."""
+        stream = self._streams.get(attempt)
+        if stream is not None:
+            stream.add_credit(count)
+
+    def set_connected(self, peer, connected):
+        """Go on with the answers to a peer, or hold them."""
+        for stream in self._list_of(peer):
+            stream.set_connected(connected)
+
+    def fail(self, attempt, cause):
+        """Stop a generation and say so; does nothing if it isn't there."""
+        stream = self._streams.get(attempt)
+        if stream is not None:
+            self._fail(stream, cause)
+
+    def fail_of(self, peer, cause):
+        """Stop the generations of a peer."""
+        for stream in self._list_of(peer):
+            self._fail(stream, cause)
+
+    def fail_at_engine(self, cause):
+        """Stop those that the engine has not ended."""
+        for stream in list(self._at_engine.values()):
+            self._fail(stream, cause)
+
+    def fail_all(self, cause):
+        """Stop all."""
+        for stream in list(self._streams.values()):
+            self._fail(stream, cause)
+
+    def stop(self):
+        """Stop all at once; nothing is sent any more."""
+        self._stopped = True
+        for stream in list(self._streams.values()):
+            stream.cancel()
+        self._streams.clear()
+
+    def _list_of(self, peer):
+        return [
+            stream for stream in self._streams.values() if stream.request.peer == peer
+        ]
+
+    def _fail(self, stream, cause):
+        attempt = stream.request.order.attempt
+        self._streams.pop(attempt, None)
+        stream.cancel()
+        if not self._stopped:
+            self._outbox.send(stream.request.peer, AttemptFailed(attempt, cause))
+
+    def _release(self, stream, was_cancelled):
+        """Take back a stream's place in the batch, and later its pin."""
+        order = stream.request.order
+        self._at_engine.pop(order.attempt, None)
+        self._queue.charge(order, stream.produced - order.max_tokens)
+        if was_cancelled:
+            delay = self._settings.release_delay
+            self._clock.call_later(delay, self._unpin, stream.slot)
+        else:
+            self._loader.unpin(stream.slot)
+        self._listener.generation_left(self._clock.monotonic() - stream.started)
+
+    def _unpin(self, slot):
+        self._loader.unpin(slot)
+        self._listener.pins_released()
+
+    def _end(self, stream, finished, error):
+        self._streams.pop(stream.request.order.attempt, None)
+        self._listener.generation_ended(stream.request, finished, error)
--- a/libs/replica/src/balsamspoke_replica/loader.py
+++ b/libs/replica/src/balsamspoke_replica/loader.py
@@ -11,9 +11,9 @@
     LoadStarted,
     SlotHeld,
 )
+from .orders import CONFLICT
 from .slots import Slot, SlotState
 
-CONFLICT = 409
 MOST_DOUBLINGS = 16
 
 
--- /dev/null
+++ b/libs/replica/src/balsamspoke_replica/pump.py
@@ -0,0 +1,30 @@
+"""A step that is repeated as long as it is asked for."""
+
+
+class Pump:
+    """Run a step; when asked for from within, run it once more afterwards.
+
+    Parameters
+    ----------
+    step : callable
+        What is run.
+    """
+
+    def __init__(self, step):
+        self._step = step
+        self._is_running = False
+        self._is_wanted = False
+
+    def run(self):
+        """Run the step until nobody asks for it; return whether it was run here."""
+        self._is_wanted = True
+        if self._is_running:
+            return False
+        self._is_running = True
+        try:
+            while self._is_wanted:
+                self._is_wanted = False
+                self._step()
+        finally:
+            self._is_running = False
+        return True
