Replay the trace through the routing that ships

Cause: policy_replay chose replicas by classes of its own, so its figures said nothing of ReplicaDirectory. They are gone; the directory gets the replicas' own reports with their lag, and the baselines are the shipped RoundRobin, LeastLoaded (of two) and PlainRendezvous. Variants exchange one part at a time (ours-fifo, ours-lru, rendezvous-ours).

--- a/benchmarks/policy_replay.py
+++ b/benchmarks/policy_replay.py
@@ -1,4 +1,4 @@
-"""Replay a trace through the replicas' decisions, for several policies and seeds.
+"""Replay a trace through routing and replicas as shipped, for several policies.
 
 ``--final`` takes the seeds that are kept for the final figures.
 """
@@ -21,16 +21,22 @@
     PopularitySlotPolicy,
     ReplicaSettings,
 )
+from balsamspoke_routing import (
+    LeastLoaded,
+    PlainRendezvous,
+    ReplicaDirectory,
+    RoundRobin,
+)
 from balsamspoke_types.identifiers import AttemptId, ProcessId
 from balsamspoke_types.messages import (
     AttemptFailed,
     AttemptRefused,
     GenerationFinished,
+    ReplicaReport,
     RunGeneration,
     TokensProduced,
 )
 from balsamspoke_types.objects import Model
-from policy_routing import Affinity, LeastLoaded, Rendezvous, RoundRobin
 from policy_trace import FLOODING_TEAM, TEAM_SHARES, build_trace
 
 REPLICAS = 5
@@ -47,6 +53,8 @@
 SEEDS = (1, 2, 3)
 FINAL_SEEDS = (101, 102, 103, 104, 105)
 POLICIES = ("round-robin", "least-loaded", "rendezvous", "ours")
+# One part exchanged at a time, to tell what a difference comes from.
+VARIANTS = ("ours-fifo", "ours-lru", "rendezvous-ours")
 FAULTS = ("restart", "lost", "failing", "slow", "flip")
 ENTRY = ProcessId("entry", 1)
 
@@ -96,14 +104,16 @@
         flip = FAULT_SECONDS if fault == "flip" else None
         floods = fault is None
         self.trace = build_trace(self.random, rate, SECONDS, floods, flip)
-        self.router = _build_router(policy)
+        self.directory = ReplicaDirectory(
+            self.clock, random.Random(seed), policy=_build_policy(policy, seed)
+        )
         self.replicas, self.engines = {}, {}
-        self.loads, self.open = {}, {}
-        self.waiting = {}
+        self.peers, self.indices = {}, {}
+        self.open, self.waiting = {}, {}
         self.records, self.samples, self.load_count = [], [], 0
         self.numbers = 0
         for index in range(REPLICAS):
-            self._add_replica(index, policy == "ours")
+            self._add_replica(index, policy)
 
     def run(self):
         """Play the trace and return the measures."""
@@ -113,7 +123,7 @@
             record = Record(arrival)
             self.records.append(record)
             when = start + timedelta(seconds=arrival.at)
-            self.time.schedule(when, self._dispatch, record, 0)
+            self.time.schedule(when, self._dispatch, record, frozenset())
         for step in range(SECONDS * 4):
             when = start + timedelta(seconds=step / 4)
             self.time.schedule(when, self._sample)
@@ -123,11 +133,13 @@
         self.time.advance(timedelta(seconds=SECONDS + DRAIN_SECONDS))
         return self._measure()
 
-    def _add_replica(self, index, is_ours):
+    def _add_replica(self, index, policy):
         engine = StoreEngine(self.clock, self.in_flight, self.slowness)
         settings = ReplicaSettings()
-        queue = FairQueue(settings.aging_time) if is_ours else FifoQueue()
-        slots = PopularitySlotPolicy() if is_ours else LruSlotPolicy()
+        is_fair = policy in ("ours", "ours-lru", "rendezvous-ours")
+        is_popular = policy in ("ours", "ours-fifo", "rendezvous-ours")
+        queue = FairQueue(settings.aging_time) if is_fair else FifoQueue()
+        slots = PopularitySlotPolicy() if is_popular else LruSlotPolicy()
         replica = EngineReplica(
             ProcessId(f"side-{index}", 1),
             Model("base", adapter_slots=SLOTS, batch_size=BATCH_SIZE),
@@ -144,7 +156,10 @@
             slots,
         )
         self.replicas[index], self.engines[index] = replica, engine
-        self.loads[index] = 0
+        self.peers[index] = replica.process
+        self.indices[replica.process] = index
+        self.directory.note_member(replica.process, "base", "shari", True, False)
+        self.directory.note_connection(replica.process, True)
         replica.start()
         replica.peer_connected(ENTRY)
 
@@ -153,21 +168,16 @@
 
     def _dispatch(self, record, avoid):
         arrival = record.arrival
-        live = {index: self.loads[index] for index in self.replicas}
-        if avoid in live and record.tries and len(live) > 1:
-            del live[avoid]
-        holders = [
-            index
-            for index in live
-            if arrival.adapter in self.replicas[index].report().adapters
-        ]
-        index = self.router.choose(arrival.adapter, live, self._now(), holders)
+        peer = self.directory.choose("base", arrival.adapter, avoid)
+        if peer is None:
+            peer = self.directory.choose("base", arrival.adapter)
+        index = self.indices[peer]
         record.tries += 1
         self.numbers += 1
         attempt = AttemptId(ENTRY, self.numbers)
         self.open[attempt] = (record, index)
-        self.loads[index] += 1
-        if index not in holders:
+        self.directory.note_sent(peer)
+        if arrival.adapter not in self.replicas[index].report().adapters:
             record.stalled = True
             key = (index, arrival.adapter)
             self.waiting.setdefault(key, []).append((record, self._now()))
@@ -188,17 +198,21 @@
         self.replicas[index].peer_message(ENTRY, order)
 
     def _take(self, index, message):
-        if isinstance(message, TokensProduced):
+        peer = self.peers[index]
+        if isinstance(message, ReplicaReport):
+            self.directory.note_report(peer, message)
+        elif isinstance(message, TokensProduced):
             for chunk in message.chunks:
                 record, _ = self.open[chunk.attempt]
                 record.tokens = chunk.offset + chunk.count
                 record.first = self._now() if record.first is None else record.first
         elif isinstance(message, GenerationFinished | AttemptRefused | AttemptFailed):
             record, _ = self.open.pop(message.attempt)
-            self.loads[index] -= 1
+            self.directory.note_ended(peer)
             record.done = isinstance(message, GenerationFinished)
             if not record.done and record.tries < TRIES:
-                self.time.schedule(self.time.elapsed, self._dispatch, record, index)
+                again = (record, frozenset({peer}))
+                self.time.schedule(self.time.elapsed, self._dispatch, *again)
 
     def _note(self, index, event):
         if isinstance(event, LoadStarted):
@@ -232,11 +246,12 @@
 
     def _lose(self, index):
         self.replicas.pop(index).stop()
+        self.directory.forget(self.peers[index])
         self.engines.pop(index)
         for attempt, (record, at) in list(self.open.items()):
             if at == index:
                 del self.open[attempt]
-                self._dispatch(record, index)
+                self._dispatch(record, frozenset())
 
     def _measure(self):
         firsts = {team: [] for team in TEAM_SHARES}
@@ -292,15 +307,15 @@
         ]
 
 
-def _build_router(policy):
-    if policy == "ours":
-        return Affinity(BATCH_SIZE)
-    routers = {
-        "round-robin": RoundRobin,
-        "least-loaded": LeastLoaded,
-        "rendezvous": Rendezvous,
-    }
-    return routers[policy]()
+def _build_policy(policy, seed):
+    """Return a RoutingPolicy; None is the one that ships."""
+    if policy == "round-robin":
+        return RoundRobin()
+    if policy == "least-loaded":
+        return LeastLoaded(random.Random(seed))
+    if policy.startswith("rendezvous"):
+        return PlainRendezvous(random.Random(seed))
+    return None
 
 
 def _fill(asked, total):
@@ -352,7 +367,7 @@
     parser.add_argument("--final", action="store_true")
     parser.add_argument("--faults", action="store_true")
     parser.add_argument("--deployment", choices=RATES, action="append")
-    parser.add_argument("--policy", choices=POLICIES, action="append")
+    parser.add_argument("--policy", choices=POLICIES + VARIANTS, action="append")
     parser.add_argument("--load", type=float, default=1.0, help="factor of the rate")
     parser.add_argument("--output")
     options = parser.parse_args()
