Give the replay's teams weights by what they may send

Cause: the fair queue shares tokens by weight, and every team of the replay had weight 1, so a team with 8% of the requests was given as much as one with 36%: saturated, the small teams' p95 first token was 13 and 18 s, the large ones' 30 and 32 s. Entry processes send the team's catalogue weight; the replay now sets it in proportion to what a team may send. Only the benchmark changes.

FIFO queues ignore weights, so the baselines are as they were.

Deployments must set them in proportion; the default of 1 shares equally.

--- a/benchmarks/policy_replay.py
+++ b/benchmarks/policy_replay.py
@@ -192,6 +192,8 @@
             record.tokens,
             "",
             arrival.priority,
+            # As operators would set it: in proportion to what a team may send.
+            weight=TEAM_SHARES[arrival.team] * len(TEAM_SHARES),
             deadline=DEADLINE,
             credit=100_000,
         )
