Prefer replicas that have the adapter, compare one more, and spill late

It left the adapter's replica from one full batch on, to replicas that had to load the adapter, and a load there evicted others. Now: the least loaded replica that reports the adapter and has room in its batch, if there are as many as the width; else the lesser loaded of width plus one, the spare one only if it is an eighth of a batch less loaded; spilling from four batches instead of one.

Tests: the two new ones failed with the routing of before (vm-2 != vm-0; vm-3 not found in (vm-0, vm-2)); routing 63 tests, 0 failed after.

--- a/libs/routing/src/balsamspoke_routing/policies.py
+++ b/libs/routing/src/balsamspoke_routing/policies.py
@@ -3,7 +3,8 @@
 from abc import ABC, abstractmethod
 
 _SAMPLE_TRIES = 8
-_SPILL_RANKS = 2
+_SPARE_RANKS = 1
+_SPILL_RANKS = 1
 
 
 class RoutingPolicy(ABC):
@@ -98,10 +99,13 @@
 
 
 class AdapterAffinity(RoutingPolicy):
-    """The lesser loaded of the first replicas of the adapter's ranking.
+    """Replicas that have the adapter, then the first of its ranking.
 
-    How many are considered grows with the adapter's recent load; requests leave
-    them only if all are much busier than others.
+    How many are considered grows with the adapter's recent load. As long as so many
+    report the adapter and have room in their batch, the least loaded of these is
+    taken; else the lesser loaded of the first of the ranking, one more than the
+    adapter's load asks for. Requests leave them only if they are several batches
+    behind others.
 
     Parameters
     ----------
@@ -124,16 +128,27 @@
         if adapter is None:
             return self._least_loaded.choose(pool, adapter, excluded, now)
         width = self._get_width(adapter, now)
-        ranked = self._get_ranked(pool, adapter, excluded, width + _SPILL_RANKS)
-        preferred = ranked[:width]
-        if not preferred:
+        considered = width + _SPARE_RANKS
+        ranked = self._get_ranked(pool, adapter, excluded, considered + _SPILL_RANKS)
+        if not ranked:
             return self._least_loaded.choose(pool, adapter, excluded, now)
+        ready = self._list_ready(pool, ranked, adapter, now)
+        if len(ready) >= width:
+            return min(ready, key=lambda found: pool.get_load(found, now))
+        preferred = ranked[:considered]
+        spare = preferred[width:]
         if len(preferred) > 2:
             preferred = self._random.sample(preferred, 2)
-        best = min(preferred, key=lambda found: self._cost(pool, found, adapter, now))
+        margin = self._settings.spare_margin
+        best = min(
+            preferred,
+            key=lambda found: (
+                self._cost(pool, found, adapter, now) + margin * (found in spare)
+            ),
+        )
         if pool.get_load(best, now) < self._settings.spill_load:
             return best
-        return self._spill(pool, best, ranked[width:], adapter, excluded, now)
+        return self._spill(pool, best, ranked[considered:], adapter, excluded, now)
 
     @staticmethod
     def _get_ranked(pool, adapter, excluded, count):
@@ -145,6 +160,15 @@
                     break
         return ranked
 
+    def _list_ready(self, pool, ranked, adapter, now):
+        """Return the replicas that can start a request at once."""
+        return [
+            found
+            for found in ranked
+            if adapter in found.resident
+            and pool.get_load(found, now) < self._settings.resident_load
+        ]
+
     def _get_width(self, adapter, now):
         recent = self._popularity.note_request(adapter, now)
         width = 1 + int(recent / self._settings.requests_per_width)
--- a/libs/routing/src/balsamspoke_routing/settings.py
+++ b/libs/routing/src/balsamspoke_routing/settings.py
@@ -84,6 +84,10 @@
         Groups of adapters that share a ranking of the replicas.
     resident_bonus : float
         Part of a batch by which a replica that has the adapter may be busier.
+    resident_load : float
+        Load, in batches, below which a replica that has the adapter is preferred.
+    spare_margin : float
+        How much less loaded, in batches, the replica beyond the width must be.
     spill_load : float
         Load, in batches, from which requests may leave the adapter's width.
     spill_margin : float
@@ -98,7 +102,9 @@
     followed_adapters: int = 10_000
     hash_buckets: int = 4096
     resident_bonus: float = 0.25
-    spill_load: float = 1.0
+    resident_load: float = 1.0
+    spare_margin: float = 0.125
+    spill_load: float = 4.0
     spill_margin: float = 0.5
 
 
--- a/libs/routing/tests/test_directory.py
+++ b/libs/routing/tests/test_directory.py
@@ -91,6 +91,25 @@
             self.report(peer, running=30)
         self.assertEqual(self.choose(), first)
 
+    def test_replica_with_the_adapter_is_preferred_until_its_batch_is_full(self):
+        first = self.choose()
+        self.report(first, running=3)
+        second = self.choose()
+        self.report(second, running=6, adapters=(ADAPTER,))
+        self.assertEqual(self.choose(), second)
+        self.report(second, sequence=2, running=8, adapters=(ADAPTER,))
+        self.assertEqual(self.choose(), first)
+
+    def test_requests_spill_only_from_several_batches(self):
+        first = self.choose()
+        self.report(first, running=16)
+        second = self.choose()
+        self.report(second, running=16)
+        self.assertIn(self.choose(), (first, second))
+        self.report(first, sequence=2, running=40)
+        self.report(second, sequence=2, running=40)
+        self.assertNotIn(self.choose(), (first, second))
+
     def test_own_work_counts_before_the_next_report(self):
         first = self.choose()
         for _ in range(12):
