Ask a silent replica before calling a queued request lost

Change: a replica that reports a queue is waited for; else, and shortly before the deadline, FenceAttempt asks, and a promise that it was not handed over makes the refusal 'overloaded, not run' with Retry-After. A suspected process is left as before.

--- a/libs/routing/src/balsamspoke_routing/directory.py
+++ b/libs/routing/src/balsamspoke_routing/directory.py
@@ -128,6 +128,13 @@
         if replica is not None and replica.outstanding > 0:
             replica.outstanding -= 1
 
+    def is_queueing(self, peer):
+        """Tell whether a live side process reports that requests queue there."""
+        replica = self._replicas.get(peer)
+        if replica is None or replica.report is None or not replica.live:
+            return False
+        return replica.report.queued > 0
+
     def choose(self, service, adapter=None, excluded=frozenset()):
         """Choose the replica for a request.
 
--- a/libs/routing/src/balsamspoke_routing/generations.py
+++ b/libs/routing/src/balsamspoke_routing/generations.py
@@ -1,5 +1,7 @@
 """Run a generation: retried elsewhere, and continued from what was delivered."""
 
+from datetime import timedelta
+
 from balsamspoke_types.messages import (
     AttemptFailed,
     CreditTokens,
@@ -16,6 +18,7 @@
 
 _CREDIT_PARTS = 4
 _LENGTH_REASON = "length"
+NO_TIME = timedelta(0)
 
 
 class GenerationRun(RequestRun):
@@ -72,10 +75,12 @@
     def notice_silence(self, attempt):
         """Continue elsewhere at once, if another replica can."""
         request = self._request
-        if attempt == self._attempt and self._has_other_replica(
-            request.model, request.adapter
+        if (
+            attempt == self._attempt
+            and not self._waits_for_caller()
+            and self._has_other_replica(request.model, request.adapter)
         ):
-            self._notice_stall()
+            self._give_up_attempt(Cause.BACKEND_LOST)
 
     def _take_refusal(self, message):
         self._history.note_refused(message)
@@ -152,11 +157,43 @@
     def _notice_stall(self):
         if self._attempt is None or self._ended:
             return
-        waits_for_caller = self._credit_left <= 0 and not self._assembly.has_gap
-        if self._assembly.offset and waits_for_caller:
+        if self._waits_for_caller():
             self._stall_watchdog.start(self._settings.stall_time)
+        elif self._assembly.offset or self._assembly.has_gap:
+            self._give_up_attempt(Cause.BACKEND_LOST)
+        else:
+            self._doubt_attempt()
+
+    def _waits_for_caller(self):
+        has_stopped = self._credit_left <= 0 and not self._assembly.has_gap
+        return bool(self._assembly.offset) and has_stopped
+
+    def _doubt_attempt(self):
+        """Ask what became of an attempt without a token, unless it surely queues."""
+        left = self._get_time_to_ask()
+        if left > NO_TIME and self._context.directory.is_queueing(self._peer):
+            self._stall_watchdog.start(left)
+            return
+        asked = self._context.fences.ask(self._peer, self._attempt)
+        asked.addCallback(self._take_fence_answer, self._attempt)
+
+    def _take_fence_answer(self, handed_over, attempt):
+        if attempt != self._attempt or self._assembly.offset:
             return
-        self._give_up_attempt(Cause.BACKEND_LOST)
+        if handed_over is not False:
+            self._give_up_attempt(Cause.BACKEND_LOST)
+            return
+        self._history.note_not_run(Cause.OVERLOADED)
+        self._close_attempt()
+        if self._get_time_to_ask() > NO_TIME:
+            self._try_next()
+        else:
+            self._refuse()
+
+    def _get_time_to_ask(self):
+        """Return the time left in which a question can still be answered."""
+        answer_time = self._settings.fence_wait + 2 * self._settings.deadline_margin
+        return self._get_time_left() - answer_time
 
     def _give_up_attempt(self, cause):
         self._history.note_unknown(cause)
--- a/libs/routing/src/balsamspoke_routing/settings.py
+++ b/libs/routing/src/balsamspoke_routing/settings.py
@@ -22,7 +22,9 @@
     stall_time : timedelta
         Silence of a stream that has credit, until it is continued elsewhere.
     silent_part : float
-        Part of the deadline that a replica may be silent before the first token.
+        Part of the deadline that a replica may be silent before the first token;
+        then it is asked whether it handed the attempt over, unless it reports a
+        queue.
     gap_time : timedelta
         How long missing tokens are waited for while later ones are there.
     fence_wait : timedelta
