Take requests at a fresh entry once it reaches every listed entry; readiness of side processes

Ruled out: the budgets' own bookkeeping (no excess, units were held by the other entry). Change: a fresh entry is ready once it is connected to every live entry of the VM list (at most others_wait), and the operators' port answers /health/ready, so that whoever replaces processes can wait for a side process that takes work. test_readiness was seen red (True is not false) before; a first try by the members heard of stayed red, since hearsay is no connection.

--- a/libs/daemon/src/balsamspoke_daemon/process.py
+++ b/libs/daemon/src/balsamspoke_daemon/process.py
@@ -137,7 +137,10 @@
 
     def _open_status(self, describe, explain=None):
         site = make_status_site(
-            lambda: describe(self._node, self._transport), read_metrics, explain
+            lambda: describe(self._node, self._transport),
+            read_metrics,
+            lambda: self._node.is_ready,
+            explain,
         )
         port = listen_http(self._reactor, self._settings.status_listen, site)
         self._ports.append(port)
--- a/libs/daemon/src/balsamspoke_daemon/status.py
+++ b/libs/daemon/src/balsamspoke_daemon/status.py
@@ -6,6 +6,7 @@
 
 import orjson
 from balsamspoke_types.identifiers import AdapterRef, AttemptId, ProcessId
+from twisted.web.http import SERVICE_UNAVAILABLE
 from twisted.web.resource import NoResource, Resource
 from twisted.web.server import Site
 
@@ -61,6 +62,20 @@
         return self._read()
 
 
+class _ReadyPage(Resource):
+    isLeaf = True
+
+    def __init__(self, is_ready):
+        super().__init__()
+        self._is_ready = is_ready
+
+    def render_GET(self, request):
+        if not self._is_ready():
+            request.setResponseCode(SERVICE_UNAVAILABLE)
+            return b"no"
+        return b"ok"
+
+
 class _ExplainPage(Resource):
     def __init__(self, find):
         super().__init__()
@@ -73,7 +88,7 @@
         return _JsonPage(lambda: found)
 
 
-def make_status_site(describe, metrics, explain=None):
+def make_status_site(describe, metrics, is_ready, explain=None):
     """Return the site of the operators' port.
 
     Parameters
@@ -82,12 +97,17 @@
         Returns the document of ``/status``.
     metrics : callable
         Returns the bytes of ``/metrics``.
+    is_ready : callable
+        Tells whether ``/health/ready`` answers 200 or 503.
     explain : callable, optional
         Takes a request id, returns a data class or None, for ``/explain/ID``.
     """
     root = Resource()
     root.putChild(b"status", _JsonPage(describe))
     root.putChild(b"metrics", _TextPage(b"text/plain; version=0.0.4", metrics))
+    health = Resource()
+    health.putChild(b"ready", _ReadyPage(is_ready))
+    root.putChild(b"health", health)
     if explain is not None:
         root.putChild(b"explain", _ExplainPage(explain))
     site = Site(root)
--- a/libs/node/src/balsamspoke_node/entry.py
+++ b/libs/node/src/balsamspoke_node/entry.py
@@ -119,8 +119,10 @@
         self._routed = set()
         self._silent = set()
         self._listed_services = None
+        self._listed_entries = frozenset()
+        self._connected = set()
         self._started_at = None
-        self._found_replicas = False
+        self._found_others = False
         self._stopping = False
         self._drained = Waiters()
         self._stop_timer = None
@@ -147,7 +149,7 @@
         return (
             self.catalogue.view.is_complete
             and not self._stopping
-            and self._has_found_replicas()
+            and self._has_found_others()
         )
 
     @property
@@ -187,6 +189,7 @@
 
     def peer_connected(self, peer):
         """Note a connection."""
+        self._connected.add(peer)
         self.membership.peer_connected(peer)
         self.catalogue.peer_connected(peer)
         self.budgets.peer_connected(peer)
@@ -194,6 +197,7 @@
 
     def peer_disconnected(self, peer):
         """Note the loss of a connection."""
+        self._connected.discard(peer)
         self.membership.peer_disconnected(peer)
         self.catalogue.peer_disconnected(peer)
         self.budgets.peer_disconnected(peer)
@@ -223,17 +227,22 @@
         left = len(self.context.exchanges)
         self.budgets.hand_back().addBoth(lambda _: self._drained.fire(left))
 
-    def _has_found_replicas(self):
-        """Tell whether a fresh process can route, or has waited long enough."""
-        if self._found_replicas or self._started_at is None:
-            return self._found_replicas
+    def _has_found_others(self):
+        """Tell whether a fresh process can serve, or has waited long enough."""
+        if self._found_others or self._started_at is None:
+            return self._found_others
         waited = self._clock.monotonic() - self._started_at
-        if waited >= self.settings.replica_wait:
-            self._found_replicas = True
-        elif self._listed_services is not None:
-            usable = {one.service for one in self.directory.describe() if one.usable}
-            self._found_replicas = self._listed_services <= usable
-        return self._found_replicas
+        is_late = waited >= self.settings.others_wait
+        self._found_others = is_late or self._knows_all_listed()
+        return self._found_others
+
+    def _knows_all_listed(self):
+        """Tell whether all services can be routed to, and all entries be asked."""
+        if self._listed_services is None:
+            return False
+        usable = {one.service for one in self.directory.describe() if one.usable}
+        reached = {peer.vm for peer in self._connected} | {self.identity.vm}
+        return self._listed_services <= usable and self._listed_entries <= reached
 
     def _find_limits(self, team_name):
         team = self.catalogue.view.team(team_name)
@@ -253,11 +262,11 @@
 
     def _note_vms(self, records, asked_at):
         self.budgets.note_vms(records, asked_at)
-        self._listed_services = {
-            record.service
-            for record in records
-            if record.role == SIDE_ROLE and record.state is VmState.LIVE
-        }
+        live = [record for record in records if record.state is VmState.LIVE]
+        sides = [record for record in live if record.role == SIDE_ROLE]
+        entries = [record for record in live if record.role == ENTRY_ROLE]
+        self._listed_services = {record.service for record in sides}
+        self._listed_entries = {record.vm for record in entries}
 
     def _note_members(self):
         entries = self.membership.members(role=ENTRY_ROLE)
--- a/libs/node/src/balsamspoke_node/settings.py
+++ b/libs/node/src/balsamspoke_node/settings.py
@@ -22,9 +22,9 @@
         Larger requests are refused.
     watchers_per_domain : int
         Entry processes in each failure domain that watch the object API.
-    replica_wait : timedelta
+    others_wait : timedelta
         Longest time for which a fresh process isn't ready since it knows no
-        replica of some service that the VM list shows.
+        replica of some service, or not every entry process, that the VM list shows.
     readiness_grace : timedelta
         How long new requests are still taken after readiness went off, so that
         the balancer can notice.
@@ -37,7 +37,7 @@
     first_token_timeout: timedelta = timedelta(seconds=20)
     maximum_body_bytes: int = 1_000_000
     watchers_per_domain: int = 2
-    replica_wait: timedelta = timedelta(seconds=5)
+    others_wait: timedelta = timedelta(seconds=5)
     readiness_grace: timedelta = timedelta(seconds=5)
     stop_timeout: timedelta = timedelta(minutes=5)
     kept_explanations: int = 2000
--- a/libs/node/src/balsamspoke_node/side.py
+++ b/libs/node/src/balsamspoke_node/side.py
@@ -116,8 +116,10 @@
 
     @property
     def is_ready(self):
-        """Whether the backend server can be given work."""
-        return self.replica is not None and not self._stopping
+        """Whether the backend server takes work, and some entry process can send it."""
+        if self.replica is None or self._stopping or not self._connected:
+            return False
+        return self.replica.report().accepting
 
     def drain(self):
         """Stop as planned: queued requests move on, running ones end.
--- /dev/null
+++ b/libs/node/tests/test_readiness.py
@@ -0,0 +1,31 @@
+import unittest
+
+from .fleet import Fleet
+
+
+class ReadinessTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet(engines=1, services=1, entries=2)
+        self.fleet.settle()
+        self.restarted, self.other = self.fleet.entries()
+
+    def is_ready(self):
+        return self.fleet.node(self.restarted).is_ready
+
+    def test_a_fresh_entry_is_ready_once_it_can_ask_the_others_for_tokens(self):
+        self.fleet.kill(self.restarted)
+        self.fleet.network.cut_between([self.restarted], [self.other])
+        self.fleet.start(self.restarted)
+        self.fleet.advance(3)
+        self.assertFalse(self.is_ready())
+        self.fleet.network.heal()
+        self.fleet.advance(1)
+        self.assertTrue(self.is_ready())
+
+    def test_it_does_not_wait_for_ever_for_one_that_is_gone(self):
+        self.fleet.kill(self.other)
+        self.fleet.restart(self.restarted)
+        self.fleet.advance(3)
+        self.assertFalse(self.is_ready())
+        self.fleet.advance(3)
+        self.assertTrue(self.is_ready())
--- a/libs/standins/src/balsamspoke_standins/deployment/fleet.py
+++ b/libs/standins/src/balsamspoke_standins/deployment/fleet.py
@@ -114,8 +114,8 @@
         for number in range(self._plan.entries):
             self._start_entry(number)
         self._put_vms()
-        for program, url in zip(self.entries, self.entry_urls):
-            program.wait_for(f"{url}/health/ready", READY_TIMEOUT)
+        for program in (*self.sides, *self.entries):
+            program.wait_for(self._health_urls[program.name], READY_TIMEOUT)
 
     def put(self, item):
         """Create a catalogue object in the object API."""
@@ -249,9 +249,7 @@
     def _run_daemon(self, role, record, host, flags):
         name = record["vm"]
         self._commands[name] = (role, record, host, flags)
-        port = CALLER_PORT if role == "entry" else STATUS_PORT
-        path = "/health/ready" if role == "entry" else "/status"
-        self._health_urls[name] = f"http://{host}:{port}{path}"
+        self._health_urls[name] = f"http://{host}:{STATUS_PORT}/health/ready"
         arguments = [
             role,
             f"--vm={record['vm']}",
