--- a/benchmarks/capacity_slopes.py
+++ b/benchmarks/capacity_slopes.py
@@ -34,6 +34,7 @@
     CallerRequest,
     EntryNode,
     NodeIdentity,
+    NodePorts,
     Responder,
     SideNode,
 )
@@ -201,14 +202,14 @@
         plain_clock = VirtualClock(self.time)
         transport = MeteredTransport(self._network, process, plain_clock, meter)
         identity = NodeIdentity(record.vm, "r1", record.failure_domain, record.service)
-        ports = (process, identity, clock, source, store)
-        ports += (FakeVmList(self._vms, clock), transport)
+        vm_list = FakeVmList(self._vms, clock)
+        ports = NodePorts(process, identity, clock, source, store, vm_list, transport)
         if record.role == "entry":
-            node = EntryNode(*ports)
+            node = EntryNode(ports)
             self.entries.append(node)
         else:
             engine = FakeEngine(VirtualClock(self.time), slots=8)
-            node = SideNode(*ports, engine=engine, fencing=1)
+            node = SideNode(ports, engine=engine, fencing=1)
         node.start()
 
     def advance(self, seconds):
--- a/benchmarks/rolling_replacement.py
+++ b/benchmarks/rolling_replacement.py
@@ -12,16 +12,15 @@
 import tempfile
 import time
 from datetime import timedelta
-from pathlib import Path
 
 import orjson
 from balsamspoke_standins.deployment import (
     Deployment,
     DeploymentPlan,
-    Program,
+    LoadOptions,
     ProgramFailed,
     make_catalogue,
-    make_load_teams,
+    start_load,
 )
 
 ADAPTERS = 40
@@ -66,7 +65,7 @@
     troubles = []
     try:
         deployment.start(catalogue.objects)
-        load = start_load(options, deployment, catalogue, directory)
+        load = start_load(make_load(options), deployment, catalogue, directory)
         time.sleep(WARM_UP_SECONDS)
         troubles += replace_all(deployment, load, options.pause)
         left = max(1.0, end - time.monotonic())
@@ -83,22 +82,16 @@
     return 1 if troubles else 0
 
 
-def start_load(options, deployment, catalogue, directory):
-    """Start the load tool and return its Program."""
-    plan = Path(directory) / "load-plan.json"
-    plan.write_bytes(orjson.dumps({"teams": make_load_teams(catalogue)}))
-    arguments = [
-        *(f"--entry={url}" for url in deployment.entry_urls),
-        f"--plan={plan}",
-        f"--rate={options.rate}",
-        f"--duration={options.seconds}",
-        f"--bookings={options.bookings}",
-        f"--seed={options.seed}",
-        f"--health-interval={HEALTH_INTERVAL_SECONDS}",
-        "--verify",
-        "--output=json",
-    ]
-    return Program.start("load", "balsamspoke_standins.load", arguments, directory)
+def make_load(options):
+    """Return the LoadOptions for the command's options."""
+    return LoadOptions(
+        options.rate,
+        options.seconds,
+        options.bookings,
+        options.seed,
+        HEALTH_INTERVAL_SECONDS,
+        "json",
+    )
 
 
 def replace_all(deployment, load, pause):
--- a/libs/daemon/src/balsamspoke_daemon/process.py
+++ b/libs/daemon/src/balsamspoke_daemon/process.py
@@ -9,6 +9,7 @@
     EntryNode,
     EntrySettings,
     NodeIdentity,
+    NodePorts,
     ObserverGroup,
     SideNode,
 )
@@ -92,7 +93,7 @@
             settings.failure_domain,
             settings.service or "",
         )
-        ports = (
+        ports = NodePorts(
             self.process,
             identity,
             self._clock,
@@ -103,7 +104,7 @@
         )
         if settings.role == ENTRY:
             return EntryNode(
-                *ports,
+                ports,
                 settings=EntrySettings(
                     first_token_timeout=settings.first_token_timeout,
                     maximum_body_bytes=settings.maximum_body_bytes,
@@ -115,7 +116,7 @@
         backend = self._call(settings.backend)
         is_engine = settings.backend_kind == "engine"
         return SideNode(
-            *ports,
+            ports,
             engine=HttpEngine(backend, settings.service) if is_engine else None,
             service=None if is_engine else HttpPlainService(backend),
             fencing=int(self._clock.now().timestamp() * 1000),
--- a/libs/node/src/balsamspoke_node/__init__.py
+++ b/libs/node/src/balsamspoke_node/__init__.py
@@ -12,6 +12,7 @@
     TokensGap,
 )
 from .identity import NodeIdentity
+from .ports import NodePorts
 from .settings import EntrySettings, SideSettings
 from .side import SideNode
 
@@ -22,6 +23,7 @@
     "EntrySettings",
     "Exchange",
     "NodeIdentity",
+    "NodePorts",
     "Observer",
     "ObserverGroup",
     "RequestEnded",
--- a/libs/node/src/balsamspoke_node/entry.py
+++ b/libs/node/src/balsamspoke_node/entry.py
@@ -16,28 +16,20 @@
 from .events import CatalogueChanged, ObserverGroup, SilentObserver, StopStarted
 from .explanations import Explanations
 from .frontdoor import RequestHandler
+from .identity import ENTRY_ROLE, SIDE_ROLE
+from .readiness import StartReadiness
 from .settings import EntrySettings
 from .waiters import Waiters
 from .watchers import choose_watchers
 
-ENTRY_ROLE = "entry"
-SIDE_ROLE = "side"
-
 
 class EntryNode(PeerHandler):
     """The core of an entry process.
 
     Parameters
     ----------
-    process : ProcessId
-        This run.
-    identity : NodeIdentity
-        Where it runs.
-    clock : Clock
-    random_source : random.Random
-    store : ObjectStore
-    vm_list : VmList
-    transport : PeerTransport
+    ports : NodePorts
+        What it needs from outside.
     settings : EntrySettings, optional
     observer : Observer, optional
         Who is told of events.
@@ -45,39 +37,33 @@
 
     def __init__(
         self,
-        process,
-        identity,
-        clock,
-        random_source,
-        store,
-        vm_list,
-        transport,
+        ports,
         settings=None,
         observer=None,
     ):
         settings = settings or EntrySettings()
-        self.process = process
-        self.identity = identity
+        self.process = ports.process
+        self.identity = ports.identity
         self.settings = settings
-        self._clock = clock
+        self._clock = ports.clock
         self.explanations = Explanations(settings.kept_explanations)
         self._observer = ObserverGroup(self.explanations, observer or SilentObserver())
         self.catalogue = CatalogueKeeper(
-            process,
-            clock,
-            random_source,
-            store,
-            transport.send,
+            ports.process,
+            ports.clock,
+            ports.random_source,
+            ports.store,
+            ports.transport.send,
             settings.catalogue,
             on_change=self._note_catalogue,
         )
         self.membership = Membership(
-            process,
-            identity.vm,
-            clock,
-            random_source,
-            vm_list,
-            transport,
+            ports.process,
+            ports.identity.vm,
+            ports.clock,
+            ports.random_source,
+            ports.vm_list,
+            ports.transport,
             settings.membership,
             get_revision=self._get_revision,
             on_change=self._note_members,
@@ -85,30 +71,40 @@
             is_wanted=self._is_wanted,
             on_status=self.catalogue.note_revision,
         )
-        self.directory = ReplicaDirectory(clock, random_source, settings.directory)
+        self.directory = ReplicaDirectory(
+            ports.clock, ports.random_source, settings.directory
+        )
         self.budgets = TeamBudgets(
-            process,
-            clock,
-            random_source,
-            store,
-            transport.send,
+            ports.process,
+            ports.clock,
+            ports.random_source,
+            ports.store,
+            ports.transport.send,
             self._find_limits,
             settings.budgets,
         )
         self.runner = AttemptRunner(
-            process,
-            clock,
-            random_source,
-            transport.send,
+            ports.process,
+            ports.clock,
+            ports.random_source,
+            ports.transport.send,
             self.directory,
-            IdempotencyLedger(process, clock, store, random_source, settings.ledger),
+            IdempotencyLedger(
+                ports.process,
+                ports.clock,
+                ports.store,
+                ports.random_source,
+                settings.ledger,
+            ),
             self.catalogue.view.is_key_valid,
             settings.attempts,
         )
-        self._sweeper = RecordSweeper(clock, store, random_source, settings.ledger)
+        self._sweeper = RecordSweeper(
+            ports.clock, ports.store, ports.random_source, settings.ledger
+        )
         self.context = EntryContext(
-            process,
-            clock,
+            ports.process,
+            ports.clock,
             settings,
             self.catalogue.view,
             self.budgets,
@@ -118,19 +114,17 @@
         self._handler = RequestHandler(self.context)
         self._routed = set()
         self._silent = set()
-        self._listed_services = None
-        self._listed_entries = frozenset()
-        self._connected = set()
-        self._started_at = None
-        self._found_others = False
+        self._readiness = StartReadiness(
+            ports.clock, ports.identity.vm, self.directory, settings.others_wait
+        )
         self._stopping = False
         self._drained = Waiters()
         self._stop_timer = None
-        transport.bind(self)
+        ports.transport.bind(self)
 
     def start(self):
         """Start to take part; requests are taken once the catalogue is complete."""
-        self._started_at = self._clock.monotonic()
+        self._readiness.start()
         self.catalogue.start()
         self.membership.start()
         self.budgets.start()
@@ -149,7 +143,7 @@
         return (
             self.catalogue.view.is_complete
             and not self._stopping
-            and self._has_found_others()
+            and self._readiness.is_met()
         )
 
     @property
@@ -189,7 +183,7 @@
 
     def peer_connected(self, peer):
         """Note a connection."""
-        self._connected.add(peer)
+        self._readiness.note_connected(peer)
         self.membership.peer_connected(peer)
         self.catalogue.peer_connected(peer)
         self.budgets.peer_connected(peer)
@@ -197,7 +191,7 @@
 
     def peer_disconnected(self, peer):
         """Note the loss of a connection."""
-        self._connected.discard(peer)
+        self._readiness.note_disconnected(peer)
         self.membership.peer_disconnected(peer)
         self.catalogue.peer_disconnected(peer)
         self.budgets.peer_disconnected(peer)
@@ -227,23 +221,6 @@
         left = len(self.context.exchanges)
         self.budgets.hand_back().addBoth(lambda _: self._drained.fire(left))
 
-    def _has_found_others(self):
-        """Tell whether a fresh process can serve, or has waited long enough."""
-        if self._found_others or self._started_at is None:
-            return self._found_others
-        waited = self._clock.monotonic() - self._started_at
-        is_late = waited >= self.settings.others_wait
-        self._found_others = is_late or self._knows_all_listed()
-        return self._found_others
-
-    def _knows_all_listed(self):
-        """Tell whether all services can be routed to, and all entries be asked."""
-        if self._listed_services is None:
-            return False
-        usable = {one.service for one in self.directory.describe() if one.usable}
-        reached = {peer.vm for peer in self._connected} | {self.identity.vm}
-        return self._listed_services <= usable and self._listed_entries <= reached
-
     def _find_limits(self, team_name):
         team = self.catalogue.view.team(team_name)
         return Limits(team.rate, team.burst) if team is not None else None
@@ -262,11 +239,7 @@
 
     def _note_vms(self, records, asked_at):
         self.budgets.note_vms(records, asked_at)
-        live = [record for record in records if record.state is VmState.LIVE]
-        sides = [record for record in live if record.role == SIDE_ROLE]
-        entries = [record for record in live if record.role == ENTRY_ROLE]
-        self._listed_services = {record.service for record in sides}
-        self._listed_entries = {record.vm for record in entries}
+        self._readiness.note_vms(records)
 
     def _note_members(self):
         entries = self.membership.members(role=ENTRY_ROLE)
--- a/libs/node/src/balsamspoke_node/identity.py
+++ b/libs/node/src/balsamspoke_node/identity.py
@@ -2,6 +2,10 @@
 
 from dataclasses import dataclass
 
+# Roles of VMs in the VM list.
+ENTRY_ROLE = "entry"
+SIDE_ROLE = "side"
+
 
 @dataclass(frozen=True, slots=True)
 class NodeIdentity:
--- a/libs/node/src/balsamspoke_node/side.py
+++ b/libs/node/src/balsamspoke_node/side.py
@@ -20,15 +20,9 @@
 
     Parameters
     ----------
-    process : ProcessId
-        This run.
-    identity : NodeIdentity
-        Where it runs, with the service of its backend server.
-    clock : Clock
-    random_source : random.Random
-    store : ObjectStore
-    vm_list : VmList
-    transport : PeerTransport
+    ports : NodePorts
+        What it needs from outside; its identity names the service of its backend
+        server.
     engine : Engine or None
         The backend server, if it is an engine.
     service : PlainServiceClient or None
@@ -44,13 +38,7 @@
 
     def __init__(
         self,
-        process,
-        identity,
-        clock,
-        random_source,
-        store,
-        vm_list,
-        transport,
+        ports,
         engine=None,
         service=None,
         fencing=0,
@@ -59,11 +47,11 @@
         observer=None,
     ):
         settings = settings or SideSettings()
-        self.process = process
-        self.identity = identity
-        self._clock = clock
-        self._random = random_source
-        self._transport = transport
+        self.process = ports.process
+        self.identity = ports.identity
+        self._clock = ports.clock
+        self._random = ports.random_source
+        self._transport = ports.transport
         self._engine = engine
         self._service = service
         self._fencing = fencing
@@ -72,22 +60,22 @@
         self._observer = observer or SilentObserver()
         self.replica = None
         self.catalogue = CatalogueKeeper(
-            process,
-            clock,
-            random_source,
-            store,
-            transport.send,
+            ports.process,
+            ports.clock,
+            ports.random_source,
+            ports.store,
+            ports.transport.send,
             settings.catalogue,
             kinds=SIDE_KINDS,
             on_change=self._note_catalogue,
         )
         self.membership = Membership(
-            process,
-            identity.vm,
-            clock,
-            random_source,
-            vm_list,
-            transport,
+            ports.process,
+            ports.identity.vm,
+            ports.clock,
+            ports.random_source,
+            ports.vm_list,
+            ports.transport,
             settings.membership,
             get_revision=self._get_revision,
             on_change=self._note_members,
@@ -98,7 +86,7 @@
         self._connected = set()
         self._stopping = False
         self._drained = Waiters()
-        transport.bind(self)
+        ports.transport.bind(self)
 
     def start(self):
         """Start to take part; the replica opens once its model is known."""
--- a/libs/node/tests/fleet.py
+++ b/libs/node/tests/fleet.py
@@ -26,6 +26,7 @@
     EntryNode,
     EntrySettings,
     NodeIdentity,
+    NodePorts,
     Observer,
     Responder,
     SideNode,
@@ -336,17 +337,24 @@
         transport = FakeTransport(self.network, process, clock)
         record = machine.record
         identity = NodeIdentity(vm, "r1", record.failure_domain, record.service)
-        ports = (process, identity, clock, source)
-        ports += (machine.store, machine.vm_list, transport)
+        ports = NodePorts(
+            process,
+            identity,
+            clock,
+            source,
+            machine.store,
+            machine.vm_list,
+            transport,
+        )
         if record.role == "entry":
             machine.node = EntryNode(
-                *ports, settings=self.entry_settings, observer=observer
+                ports, settings=self.entry_settings, observer=observer
             )
         else:
             machine.backend.clock = clock
             is_engine = record.service == MODEL
             machine.node = SideNode(
-                *ports,
+                ports,
                 engine=machine.backend if is_engine else None,
                 service=None if is_engine else machine.backend,
                 fencing=machine.boots,
--- a/libs/standins/src/balsamspoke_standins/demo.py
+++ b/libs/standins/src/balsamspoke_standins/demo.py
@@ -6,15 +6,13 @@
 from datetime import timedelta
 from pathlib import Path
 
-import orjson
-
 from .deployment import (
     Deployment,
     DeploymentPlan,
-    Program,
+    LoadOptions,
     ProgramFailed,
     make_catalogue,
-    make_load_teams,
+    start_load,
 )
 
 LOAD_MARGIN = timedelta(seconds=60)
@@ -71,18 +69,8 @@
 
 
 def _send_load(options, deployment, catalogue, directory):
-    plan = Path(directory) / "load-plan.json"
-    plan.write_bytes(orjson.dumps({"teams": make_load_teams(catalogue)}))
-    arguments = [
-        *(f"--entry={url}" for url in deployment.entry_urls),
-        f"--plan={plan}",
-        f"--rate={options.rate}",
-        f"--duration={options.seconds}",
-        f"--bookings={options.bookings}",
-        f"--seed={options.seed}",
-        "--verify",
-    ]
-    load = Program.start("load", "balsamspoke_standins.load", arguments, directory)
+    plan = LoadOptions(options.rate, options.seconds, options.bookings, options.seed)
+    load = start_load(plan, deployment, catalogue, directory)
     status = load.wait(timedelta(seconds=options.seconds) + LOAD_MARGIN)
     if status != 0:
         raise ProgramFailed(f"the load tool ended with {status}:\n{load.read_log()}")
--- /dev/null
+++ b/libs/standins/src/balsamspoke_standins/deployment/load.py
@@ -0,0 +1,57 @@
+"""The load tool, started against a deployment."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+import orjson
+
+from .catalogue import make_load_teams
+from .programs import Program
+
+LOAD_MODULE = "balsamspoke_standins.load"
+
+
+@dataclass(frozen=True, slots=True)
+class LoadOptions:
+    """What the load tool sends.
+
+    Attributes
+    ----------
+    rate : float
+        Requests a second.
+    seconds : float
+        For how long.
+    bookings : float
+        Part of the requests that are bookings.
+    seed : int
+        Draws everything.
+    health_interval : float
+        Seconds between two health checks of an entry; 0 for none.
+    output : str
+        ``text`` or ``json``.
+    """
+
+    rate: float
+    seconds: float
+    bookings: float
+    seed: int
+    health_interval: float = 0.0
+    output: str = "text"
+
+
+def start_load(options, deployment, catalogue, directory):
+    """Start the load tool against a Deployment; return its Program."""
+    plan = Path(directory) / "load-plan.json"
+    plan.write_bytes(orjson.dumps({"teams": make_load_teams(catalogue)}))
+    arguments = [
+        *(f"--entry={url}" for url in deployment.entry_urls),
+        f"--plan={plan}",
+        f"--rate={options.rate}",
+        f"--duration={options.seconds}",
+        f"--bookings={options.bookings}",
+        f"--seed={options.seed}",
+        f"--health-interval={options.health_interval}",
+        f"--output={options.output}",
+        "--verify",
+    ]
+    return Program.start("load", LOAD_MODULE, arguments, directory)
