--- a/libs/daemon/src/balsamspoke_daemon/command.py
+++ b/libs/daemon/src/balsamspoke_daemon/command.py
@@ -1,7 +1,6 @@
 """The command line of the daemon."""
 
 import asyncio
-import gc
 import os
 import sys
 
@@ -13,8 +12,6 @@
 EXIT_BAD_SETTINGS = 2
 EXIT_FAILED_START = 3
 
-GARBAGE_THRESHOLD_OBJECTS = 20_000
-
 
 def main(arguments=None):
     """Run the daemon; return the exit status."""
@@ -31,16 +28,6 @@
     return _run(settings)
 
 
-def _spare_garbage_collection():
-    """Leave what was loaded at start out of collections, and collect less often.
-
-    Nearly everything that a token allocates is freed by its reference count.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GARBAGE_THRESHOLD_OBJECTS)
-
-
 def _run(settings):
     from twisted.internet import asyncioreactor
 
@@ -57,7 +44,6 @@
     async def start():
         try:
             await DaemonProcess(settings, reactor).start()
-            _spare_garbage_collection()
         except Exception as error:
             logger.error("start failed: {}", error)
             failures.append(error)
