Show load stalls for each team in the demo

Cause: the demo's table had no stalls, since the load tool can't see them. The replicas' own histograms can be read from the operators' ports.

--- a/libs/standins/src/balsamspoke_standins/demo.py
+++ b/libs/standins/src/balsamspoke_standins/demo.py
@@ -14,6 +14,7 @@
     make_catalogue,
     start_load,
 )
+from .stall_report import format_stalls, read_stalls
 
 LOAD_MARGIN = timedelta(seconds=60)
 MINIMUM_ANSWERED = 0.9
@@ -58,7 +59,8 @@
         print(f"sending {options.rate} requests a second for {options.seconds} s")
         report = _send_load(options, deployment, catalogue, directory)
         print(report.decode(), flush=True)
-    except ProgramFailed as error:
+        print(format_stalls(read_stalls(deployment.status_urls.values())), flush=True)
+    except (ProgramFailed, OSError) as error:
         troubles.append(str(error))
     print("stopping everything as planned", flush=True)
     troubles += deployment.stop()
