Replace a VM in the tests only once the new one is ready, as operators are told

Cause: the schedule stopped each old VM 3 s after the new one started, when the list did not show the new one yet; both old engines were gone before any entry knew a new one. That is outside the guarantee's own assumption, so the schedule was wrong, not the system. Ruled out: a stale choice of the draining replica (at 21.5 s both entries had it as leaving, unusable).

--- a/libs/node/tests/rolling.py
+++ b/libs/node/tests/rolling.py
@@ -9,6 +9,7 @@
 ADAPTERS = 8
 TOKENS = (1, 5, 40, 150)
 DRAIN_LIMIT_SECONDS = 400
+READY_LIMIT_SECONDS = 30
 
 
 class BalancedLoad:
@@ -91,10 +92,19 @@
         new = fleet.add_machine(record.role, record.service, place)
         fleet.publish_vms()
         fleet.start(new)
+        self._wait_until_ready(new)
         self.load.run(3)
         self.stop(vm)
         return new
 
+    def _wait_until_ready(self, vm):
+        """Wait for a new VM as operators do."""
+        node = self.fleet.node(vm)
+        deadline = self.fleet.time.elapsed.total_seconds() + READY_LIMIT_SECONDS
+        while not node.is_ready:
+            assert self.fleet.time.elapsed.total_seconds() < deadline, f"{vm} not ready"
+            self.load.step()
+
     def stop(self, vm):
         """Drain a VM under load and take it away once it has ended."""
         fleet = self.fleet
