--- a/libs/node/src/balsamspoke_node/calls.py
+++ b/libs/node/src/balsamspoke_node/calls.py
@@ -2,16 +2,14 @@
 
 from urllib.parse import unquote
 
-from balsamspoke_limits import BudgetRefused
-from balsamspoke_routing import AnswerSink, CallRequest
+from balsamspoke_routing import CallRequest
 from balsamspoke_types.objects import PriorityClass
-from balsamspoke_types.outcomes import Cause, Ran, Refusal
+from balsamspoke_types.outcomes import Cause
 from balsamspoke_types.ports import ServiceRequest
 
-from .callers import Exchange
 from .events import RequestEnded
 from .exceptions import RequestRefused
-from .generation import make_budget_refusal
+from .exchange import BudgetedExchange
 from .responses import write_refusal, write_whole
 
 SERVICE_PATH_PREFIX = "/services/"
@@ -104,7 +102,7 @@
     return key
 
 
-class CallExchange(Exchange, AnswerSink):
+class CallExchange(BudgetedExchange):
     """Reserve what the call costs, make it, write its answer.
 
     Parameters
@@ -128,27 +126,19 @@
     def __init__(
         self, context, request_id, principal, service, call, idempotency_key, responder
     ):
-        self._context = context
-        self._request_id = request_id
-        self._principal = principal
+        super().__init__(context, request_id, principal)
         self._service = service
         self._call = call
         self._idempotency_key = idempotency_key
         self._responder = responder
-        self._arrived = context.clock.monotonic()
-        self._reservation = None
-        self._running = None
-        self._ended = False
 
     def start(self):
         """Reserve the tokens and go on from there."""
         team = self._principal.team
         if not team or not self._service.tokens_per_call:
-            self._run(None)
+            self._running = self._begin_run()
             return
-        reserved = self._context.budgets.reserve(team, self._service.tokens_per_call)
-        reserved.addCallbacks(self._run, self._refuse_for_budget)
-        reserved.addErrback(self._context.report_failure, self.refuse)
+        self._reserve(team, self._service.tokens_per_call)
 
     def answer(self, response):
         """Write the service's answer."""
@@ -172,24 +162,13 @@
     def finish(self, reason, total_tokens):
         """Ignore what no plain service sends."""
 
-    def cancel(self):
-        """Note that the caller is gone; a call under way goes on."""
-        gone = Refusal(Cause.CANCELLED, Ran.UNKNOWN, "the caller went away")
-        if self._end(gone) and self._running is not None:
-            self._running.cancel()
-
     def pause(self):
         """Ignore it: the answer comes whole."""
 
     def resume(self):
         """Ignore it: the answer comes whole."""
 
-    def _run(self, reservation):
-        if self._ended:
-            if reservation is not None:
-                reservation.settle(0)
-            return
-        self._reservation = reservation
+    def _begin_run(self):
         path = self._call.path.partition("?")[0]
         request = CallRequest(
             request=self._request_id,
@@ -202,21 +181,10 @@
             key_record=self._principal.key_record,
             key_version=self._principal.key_version,
         )
-        self._running = self._context.runner.run_call(request, self)
-
-    def _refuse_for_budget(self, failure):
-        failure.trap(BudgetRefused)
-        self.refuse(make_budget_refusal(failure.value))
-
-    def _end(self, refusal):
-        if self._ended:
-            return False
-        self._ended = True
-        if self._reservation is not None:
-            not_run = refusal is not None and refusal.ran is Ran.NOT_RUN
-            self._reservation.settle(0 if not_run else self._reservation.amount)
-        self._context.end_exchange(self, self._describe_end(refusal))
-        return True
+        return self._context.runner.run_call(request, self)
+
+    def _count_used(self):
+        return self._reservation.amount
 
     def _describe_end(self, refusal):
         return RequestEnded(
--- a/libs/node/src/balsamspoke_node/generation.py
+++ b/libs/node/src/balsamspoke_node/generation.py
@@ -2,12 +2,11 @@
 
 from datetime import timedelta
 
-from balsamspoke_limits import BudgetRefused
-from balsamspoke_routing import AnswerSink, GenerationRequest
+from balsamspoke_routing import GenerationRequest
 from balsamspoke_types.outcomes import Cause, Ran, Refusal
 
-from .callers import Exchange
 from .events import RequestEnded, TokensGap
+from .exchange import BudgetedExchange
 
 # Credit goes back in steps, so that not every token costs a message.
 CREDIT_STEP_TOKENS = 64
@@ -16,7 +15,7 @@
 OBSERVED_GAP_STEP = 8
 
 
-class GenerationExchange(Exchange, AnswerSink):
+class GenerationExchange(BudgetedExchange):
     """Reserve the tokens, run the request, write the answer, settle the rest.
 
     Parameters
@@ -36,17 +35,11 @@
     """
 
     def __init__(self, context, request_id, principal, target, completion, writer):
-        self._context = context
-        self._request_id = request_id
-        self._principal = principal
+        super().__init__(context, request_id, principal)
         self._target = target
         self._completion = completion
         self._writer = writer
-        self._arrived = context.clock.monotonic()
         self._max_tokens = _limit_tokens(completion, target.model)
-        self._reservation = None
-        self._running = None
-        self._ended = False
         self._tokens = 0
         self._first_token = None
         self._last_token = None
@@ -58,9 +51,7 @@
         """Reserve the tokens and go on from there."""
         payer = self._principal.team or self._target.owner
         amount = self._completion.prompt_tokens + self._max_tokens
-        reserved = self._context.budgets.reserve(payer, amount)
-        reserved.addCallbacks(self._run, self._refuse_for_budget)
-        reserved.addErrback(self._context.report_failure, self.refuse)
+        self._reserve(payer, amount)
 
     def add_tokens(self, text, count):
         """Write tokens on to the caller."""
@@ -85,12 +76,6 @@
         if self._end(refusal):
             self._writer.refuse(refusal)
 
-    def cancel(self):
-        """Stop the work for a caller that is gone."""
-        gone = Refusal(Cause.CANCELLED, Ran.UNKNOWN, "the caller went away")
-        if self._end(gone) and self._running is not None:
-            self._running.cancel()
-
     def pause(self):
         """Give no more credit until the caller has caught up."""
         self._paused = True
@@ -100,11 +85,7 @@
         self._paused = False
         self._give_credit()
 
-    def _run(self, reservation):
-        if self._ended:
-            reservation.settle(0)
-            return
-        self._reservation = reservation
+    def _begin_run(self):
         principal, target = self._principal, self._target
         request = GenerationRequest(
             request=self._request_id,
@@ -119,11 +100,7 @@
             key_record=principal.key_record,
             key_version=principal.key_version,
         )
-        self._running = self._context.runner.run_generation(request, self)
-
-    def _refuse_for_budget(self, failure):
-        failure.trap(BudgetRefused)
-        self.refuse(make_budget_refusal(failure.value))
+        return self._context.runner.run_generation(request, self)
 
     def _give_credit(self):
         if self._uncredited >= CREDIT_STEP_TOKENS and self._running is not None:
@@ -141,19 +118,7 @@
                 self._context.observe(TokensGap(self._principal.team, gap))
         self._last_token = now
 
-    def _end(self, refusal):
-        """Settle and report once; return whether this was the first end."""
-        if self._ended:
-            return False
-        self._ended = True
-        if self._reservation is not None:
-            self._reservation.settle(self._count_used(refusal))
-        self._context.end_exchange(self, self._describe_end(refusal))
-        return True
-
-    def _count_used(self, refusal):
-        if refusal is not None and refusal.ran is Ran.NOT_RUN:
-            return 0
+    def _count_used(self):
         return self._completion.prompt_tokens + self._tokens
 
     def _describe_end(self, refusal):
@@ -172,11 +137,6 @@
         )
 
 
-def make_budget_refusal(error):
-    """Return the Refusal that tells a caller of a BudgetRefused."""
-    return Refusal(error.cause, Ran.NOT_RUN, str(error), error.retry_after)
-
-
 def _make_internal_refusal():
     return Refusal(
         Cause.INTERNAL, Ran.UNKNOWN, "unexpected answer", timedelta(seconds=1)
--- a/libs/replica/src/balsamspoke_replica/base.py
+++ b/libs/replica/src/balsamspoke_replica/base.py
@@ -200,6 +200,18 @@
         if timer is not None:
             timer.cancel()
 
+    def _take_for_hand_over(self, request, now):
+        """Take a request out of the queue, or refuse it; return whether it may run."""
+        if now >= request.deadline:
+            self._refuse_queued(request, Cause.DEADLINE)
+            return False
+        if not self._has_valid_key(request.order):
+            self._refuse_queued(request, Cause.KEY_REJECTED)
+            return False
+        self._dequeue(request)
+        self._ledger.set(request.order.attempt, AttemptState.HANDED_OVER)
+        return True
+
     def _refuse_late(self, attempt):
         request = self._queued.get(attempt)
         if request is not None:
--- a/libs/replica/src/balsamspoke_replica/engine.py
+++ b/libs/replica/src/balsamspoke_replica/engine.py
@@ -318,14 +318,8 @@
     def _hand_over(self, request):
         order = request.order
         now = self._clock.monotonic()
-        if now >= request.deadline:
-            self._refuse_queued(request, Cause.DEADLINE)
+        if not self._take_for_hand_over(request, now):
             return
-        if not self._has_valid_key(order):
-            self._refuse_queued(request, Cause.KEY_REJECTED)
-            return
-        self._dequeue(request)
-        self._ledger.set(order.attempt, AttemptState.HANDED_OVER)
         self._queue.charge(order, request.tokens)
         self._generations.start(request, now)
 
--- a/libs/replica/src/balsamspoke_replica/service.py
+++ b/libs/replica/src/balsamspoke_replica/service.py
@@ -145,14 +145,8 @@
     def _hand_over(self, request):
         order = request.order
         now = self._clock.monotonic()
-        if now >= request.deadline:
-            self._refuse_queued(request, Cause.DEADLINE)
+        if not self._take_for_hand_over(request, now):
             return
-        if not self._has_valid_key(order):
-            self._refuse_queued(request, Cause.KEY_REJECTED)
-            return
-        self._dequeue(request)
-        self._ledger.set(order.attempt, AttemptState.HANDED_OVER)
         self._running[order.attempt] = request
         self._on_event(RequestStarted(order.attempt, order.team, now - request.arrival))
         result = self._service.call(order.call)
