--- a/libs/daemon/src/balsamspoke_daemon/logs.py
+++ b/libs/daemon/src/balsamspoke_daemon/logs.py
@@ -1,13 +1,12 @@
 """Structured logs: one JSON object a line, no keys, repeated failures bounded."""
 
 import sys
-import traceback
 from datetime import timedelta
 
 import orjson
 from balsamspoke_node import CatalogueChanged, Observer, RequestEnded, TokensGap
 from balsamspoke_replica import RequestRefused, RequestStarted
-from balsamspoke_types.keys import hide_keys
+from balsamspoke_transport.log_lines import add_line, choose_format
 from loguru import logger
 
 from .status import encode_json
@@ -30,11 +29,11 @@
         Named in each line.
     """
     logger.remove()
-    logger.configure(extra={"process": str(process)}, patcher=_add_line)
+    logger.configure(extra={"process": str(process)}, patcher=add_line)
     # A traceback must not show the values of variables, and comes in the line.
     options = {
         "level": settings.log_level,
-        "format": _choose_format,
+        "format": choose_format,
         "diagnose": False,
         "backtrace": False,
     }
@@ -46,25 +45,6 @@
         )
 
 
-def _choose_format(record):
-    return "{extra[line]}\n"
-
-
-def _add_line(record):
-    """Put the JSON line into the record; every text in it is freed of keys."""
-    fields = {
-        "time": record["time"].isoformat(),
-        "level": record["level"].name,
-        "message": record["message"],
-        **{key: value for key, value in record["extra"].items() if key != "line"},
-    }
-    if record["exception"] is not None:
-        fields["error"] = repr(record["exception"].value)
-        fields["traceback"] = "".join(traceback.format_exception(*record["exception"]))
-    encoded = orjson.dumps(fields, default=str)
-    record["extra"]["line"] = hide_keys(encoded.decode())
-
-
 class LogObserver(Observer):
     """Log each decision worth explaining, under one event name.
 
--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the entry processes and side processes for requests passed on as is."""
--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/adapters.py
@@ -0,0 +1,190 @@
+"""Which adapters a replica holds: what to load next, and what makes room."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+# Adapters that may be on their way to one replica at once.
+MOST_PENDING = 4
+# An adapter used this lately is kept while another can go.
+RECENT_USE = timedelta(milliseconds=500)
+# How long a wish counts after an entry process has last repeated it.
+WISH_LIFETIME = timedelta(milliseconds=700)
+# What an entry process said counts this long.
+DEMAND_LIFETIME = timedelta(seconds=1)
+
+
+class OrderKind(Enum):
+    """What a replica is told to do."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """An order to a replica.
+
+    Attributes
+    ----------
+    kind : OrderKind
+        What to do.
+    model : str
+        Base model.
+    adapter : str or None
+        Adapter of it; None for the model itself.
+    version : int
+        Of the adapter; 0 for the newest.
+    expected_orders : int
+        The replica refuses the order unless it has accepted just so many.
+    """
+
+    kind: OrderKind
+    model: str
+    adapter: str | None
+    version: int
+    expected_orders: int
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """What a replica says of itself.
+
+    Attributes
+    ----------
+    born : int
+        When it started, in milliseconds.
+    models : dict
+        Versions of adapters by model and name.
+    pending : dict
+        Versions of adapters on their way, by model/name.
+    orders : int
+        Accepted since its start.
+    is_busy : bool
+        Whether a model is being loaded or unloaded.
+    running, waiting : int
+        Requests.
+    """
+
+    born: int
+    models: dict[str, dict[str, int]] = field(default_factory=dict)
+    pending: dict[str, int] = field(default_factory=dict)
+    orders: int = 0
+    is_busy: bool = False
+    running: int = 0
+    waiting: int = 0
+
+
+@dataclass(slots=True)
+class _Demand:
+    demand: object
+    heard: timedelta
+
+
+class AdapterPlan:
+    """Decide the next order to one replica.
+
+    Answers a skewed popularity with more adapters than places: what requests wait
+    for is loaded in the order it was asked for, and the adapter that was not used
+    for the longest time makes room, never one in use.
+    """
+
+    def __init__(self):
+        self._wishes = {}
+        self._demands = {}
+        self._last_used = {}
+
+    def note_demand(self, entry, demand, now):
+        """Take an EntryDemand of an entry process, named by its VM's address."""
+        self._demands[entry] = _Demand(demand, now)
+        for name in demand.in_use:
+            self._last_used[name] = now
+        for wanted in demand.wanted:
+            first = self._wishes.pop(wanted, (now, now))[0]
+            self._wishes[wanted] = (first, now)
+
+    def list_demands(self, now):
+        """Return the EntryDemands that still count, by entry process."""
+        for entry, known in list(self._demands.items()):
+            if now - known.heard > DEMAND_LIFETIME:
+                del self._demands[entry]
+        return {entry: known.demand for entry, known in self._demands.items()}
+
+    def choose_order(self, report, engine, now):
+        """Return the next Order, or None.
+
+        Parameters
+        ----------
+        report : EngineReport
+            Fresh.
+        engine : EngineLimits
+            What the replica has room for.
+        now : timedelta
+            Monotonic time.
+        """
+        if report.is_busy:
+            return None
+        if not report.models:
+            return self._choose_model(report, engine)
+        wanted = self._choose_wish(report, now)
+        if wanted is None or len(report.pending) >= MOST_PENDING:
+            return None
+        held = report.models[wanted.model]
+        if wanted.adapter not in held and self._count_places(report) >= (
+            engine.adapter_places
+        ):
+            return self._choose_victim(report, now)
+        return Order(
+            OrderKind.LOAD,
+            wanted.model,
+            wanted.adapter,
+            wanted.version,
+            report.orders,
+        )
+
+    @staticmethod
+    def _choose_model(report, engine):
+        for model in engine.models:
+            if model.size <= engine.memory:
+                return Order(OrderKind.LOAD, model.name, None, 0, report.orders)
+        return None
+
+    def _choose_wish(self, report, now):
+        for wanted, (_, heard) in sorted(
+            self._wishes.items(), key=lambda each: each[1][0]
+        ):
+            held = report.models.get(wanted.model)
+            coming = report.pending.get(f"{wanted.model}/{wanted.adapter}", -1)
+            is_met = held is None or held.get(wanted.adapter, -1) >= wanted.version
+            if is_met or now - heard > WISH_LIFETIME:
+                del self._wishes[wanted]
+            elif coming < wanted.version:
+                return wanted
+        return None
+
+    @staticmethod
+    def _count_places(report):
+        held = {
+            f"{model}/{name}"
+            for model, adapters in report.models.items()
+            for name in adapters
+        }
+        return len(held | set(report.pending))
+
+    def _choose_victim(self, report, now):
+        in_use = {
+            name for demand in self.list_demands(now).values() for name in demand.in_use
+        }
+        never = timedelta(0)
+        choices = [
+            (self._last_used.get(name, never), model, name)
+            for model, adapters in report.models.items()
+            for name in adapters
+            if name not in in_use and f"{model}/{name}" not in report.pending
+        ]
+        choices = [each for each in choices if now - each[0] >= RECENT_USE]
+        if not choices:
+            return None
+        _, model, name = min(choices)
+        self._last_used.pop(name, None)
+        return Order(OrderKind.UNLOAD, model, name, 0, report.orders)
--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/context.py
@@ -0,0 +1,69 @@
+"""What all requests of one entry process share."""
+
+import random
+from dataclasses import dataclass, field
+
+from balsamspoke_types.ports import Clock
+from twisted.internet.defer import CancelledError
+
+from .configuration import Configuration
+from .demands import AdapterDemands
+from .fleet import Fleet
+from .observing import DependencyLost, Observer
+from .ports import PeerSender, ReplicaClient
+from .quotas import TeamQuotas
+from .retries import RetryBudget
+from .sessions import ReadParts
+from .settings import GatewaySettings
+from .versions import AdapterVersions
+
+
+@dataclass(slots=True)
+class GatewayContext:
+    """State and ports of an entry process.
+
+    Attributes
+    ----------
+    configuration : Configuration or None
+        In force here; None until one is known.
+    processes : int
+        Entry processes that share the fleet's budgets, this one included.
+    """
+
+    settings: GatewaySettings
+    clock: Clock
+    client: ReplicaClient
+    peers: PeerSender
+    observer: Observer
+    fleet: Fleet
+    draw: object = field(default_factory=lambda: random.Random().random)
+    demands: AdapterDemands = field(default_factory=AdapterDemands)
+    quotas: TeamQuotas = field(default_factory=TeamQuotas)
+    versions: AdapterVersions = field(default_factory=AdapterVersions)
+    read_parts: ReadParts = field(default_factory=ReadParts)
+    configuration: Configuration | None = None
+    processes: int = 1
+    is_stopping: bool = False
+    retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
+
+    def find_retry_budget(self, service):
+        """Return the RetryBudget of a service."""
+        budget = self.retry_budgets.get(service)
+        if budget is None:
+            settings = self.settings
+            budget = RetryBudget(
+                settings.retry_ratio, settings.retry_extra, settings.retry_window
+            )
+            self.retry_budgets[service] = budget
+        return budget
+
+    def tell_replica(self, record):
+        """Tell the side process beside a replica what is needed there."""
+        load = self.fleet.find_load(record.id)
+        self.peers.send(record.ip, self.demands.make_message(record.id, load))
+
+    def note_bug(self, failure):
+        """Tell of an error that nothing else has handled."""
+        if failure.check(CancelledError):
+            return
+        self.observer.observe(DependencyLost("program", failure.getTraceback()))
--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/demands.py
@@ -0,0 +1,91 @@
+"""What this entry process needs of the adapters at each replica."""
+
+from collections import Counter
+
+from twisted.internet.defer import Deferred
+
+from .messages import EntryDemand, WantedAdapter
+
+
+class _ReplicaDemand:
+    def __init__(self):
+        self.waiting = {}
+        self.running = Counter()
+        self.touched = set()
+
+
+class AdapterDemands:
+    """Collect what waiting requests need, and tell them when it is there.
+
+    Side processes are told again and again as long as anything waits, so that a
+    lost message or a restarted side process costs one interval.
+    """
+
+    def __init__(self):
+        self._replicas = {}
+
+    def wait_for(self, replica_id, wanted):
+        """Return a Deferred of None, called back when a WantedAdapter is there."""
+        waiting = self._find(replica_id).waiting.setdefault(wanted, [])
+        waiter = Deferred(waiting.remove)
+        waiting.append(waiter)
+        return waiter
+
+    def note_state(self, replica_id, models):
+        """Take what a replica holds: adapter versions by model and name."""
+        demand = self._replicas.get(replica_id)
+        if demand is None:
+            return
+        for wanted in list(demand.waiting):
+            held = models.get(wanted.model, {}).get(wanted.adapter, -1)
+            if held >= wanted.version:
+                for waiter in demand.waiting.pop(wanted):
+                    waiter.callback(None)
+
+    def note_begin(self, replica_id, target):
+        """Take note that a request on an AdapterName goes to a replica."""
+        if target.adapter is not None:
+            demand = self._find(replica_id)
+            demand.running[target.adapter] += 1
+            demand.touched.add(target.adapter)
+
+    def note_end(self, replica_id, target):
+        """Take note that it has ended."""
+        if target.adapter is not None:
+            demand = self._find(replica_id)
+            demand.running[target.adapter] -= 1
+            if demand.running[target.adapter] <= 0:
+                del demand.running[target.adapter]
+
+    def is_waiting(self, replica_id):
+        """Whether requests wait for adapters of a replica."""
+        demand = self._replicas.get(replica_id)
+        return demand is not None and any(demand.waiting.values())
+
+    def make_message(self, replica_id, load):
+        """Return the EntryDemand for a replica, with its ReplicaLoad's figures."""
+        demand = self._find(replica_id)
+        in_use = demand.touched | set(demand.running)
+        demand.touched.clear()
+        wanted = tuple(each for each, waiters in demand.waiting.items() if waiters)
+        return EntryDemand(
+            wanted, tuple(sorted(in_use)), load.in_flight, load.unread_tokens
+        )
+
+    def keep_only(self, replica_ids):
+        """Forget the replicas that are gone."""
+        for replica_id in set(self._replicas) - set(replica_ids):
+            demand = self._replicas[replica_id]
+            if not demand.running and not any(demand.waiting.values()):
+                del self._replicas[replica_id]
+
+    def _find(self, replica_id):
+        demand = self._replicas.get(replica_id)
+        if demand is None:
+            demand = self._replicas[replica_id] = _ReplicaDemand()
+        return demand
+
+
+def want_adapter(target, version):
+    """Return the WantedAdapter for an AdapterName and its oldest usable version."""
+    return WantedAdapter(target.model, target.adapter, version)
--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -0,0 +1,216 @@
+"""The core of an entry process: followers, peers and requests around one context."""
+
+from datetime import timedelta
+
+from twisted.internet.defer import Deferred
+
+from .following import Follower, StoreReachability
+from .forwarding import Forwarding
+from .messages import EntryUsage, ReplicaState
+from .observing import BeliefChanged, DependencyLost, DependencyRegained
+from .quotas import PeerUsage
+
+# How often side processes hear of this process while nothing is urgent.
+DEMAND_INTERVAL = timedelta(milliseconds=200)
+# How often peers hear what was admitted here.
+USAGE_INTERVAL = timedelta(milliseconds=250)
+# Least time between two reads of replica changes: replicas write about once a
+# second each, and each read is paid for; well below the time to stop sending to a
+# replica that leaves.
+REPLICA_PAUSE = timedelta(milliseconds=500)
+# The same for announced versions of adapters.
+VERSION_PAUSE = timedelta(milliseconds=500)
+# The same for the entry processes.
+ENTRY_PAUSE = timedelta(seconds=2)
+
+_STORE = "store"
+
+
+class EntryCore:
+    """Serve callers' requests with what the store and the peers tell.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        State and ports.
+    sources : EntrySources
+        Kinds of record to follow.
+    started : int
+        Differs between starts of this process.
+    """
+
+    def __init__(self, context, sources, started):
+        self.context = context
+        self._sources = sources
+        self._started = started
+        self._peers = {}
+        self._open = set()
+        self._reachability = StoreReachability(
+            context.clock, self._note_return, self._note_loss
+        )
+        self._running = []
+
+    @property
+    def is_ready(self):
+        """Whether new connections are welcome."""
+        context = self.context
+        return (
+            context.configuration is not None
+            and bool(context.fleet.directory.list_all())
+            and not context.is_stopping
+        )
+
+    @property
+    def open_requests(self):
+        """How many requests have no final answer yet."""
+        return len(self._open)
+
+    def start(self):
+        """Follow the store and talk to the peers; returns at once."""
+        sources = self._sources
+        self._follow(sources.configurations, self._take_configurations, None)
+        self._follow(sources.replicas, self._take_replicas, REPLICA_PAUSE)
+        self._follow(sources.versions, self._take_versions, VERSION_PAUSE)
+        self._follow(sources.entries, self._take_entries, ENTRY_PAUSE)
+        self._tell_replicas()
+        self._tell_peers()
+
+    def stop(self):
+        """End what ``start`` began; open requests go on."""
+        for running in self._running:
+            running.cancel()
+
+    def handle(self, request, sink):
+        """Begin on a CallerRequest; return a Deferred to cancel if the caller leaves."""
+        forwarding = Forwarding(self.context, request, sink)
+        running = Deferred.fromCoroutine(forwarding.run())
+        self._open.add(running)
+        running.addBoth(self._forget, running)
+        return running
+
+    def take_message(self, ip, message):
+        """Take a message of a side process or a peer."""
+        context = self.context
+        if isinstance(message, ReplicaState):
+            context.fleet.note_state(ip, message)
+            for record in context.fleet.directory.list_all():
+                if record.ip == ip and record.born == message.born:
+                    context.demands.note_state(record.id, message.models)
+        elif isinstance(message, EntryUsage) and ip in self._peers:
+            usage = PeerUsage(message.started, message.tokens)
+            context.quotas.note_peer(ip, usage, context.clock.monotonic())
+
+    def _forget(self, result, running):
+        self._open.discard(running)
+        return result
+
+    def _follow(self, source, take, pause):
+        context = self.context
+
+        def take_list(page):
+            take(page, True)
+
+        def take_change(page):
+            take(page, False)
+
+        follower = Follower(
+            source, context.clock, self._reachability, take_list, take_change, pause
+        )
+        running = Deferred.fromCoroutine(follower.run())
+        running.addErrback(context.note_bug)
+        self._running.append(running)
+
+    def _note_return(self):
+        self.context.fleet.directory.note_return(self.context.clock.monotonic())
+        self.context.observer.observe(DependencyRegained(_STORE))
+
+    def _note_loss(self, error):
+        self.context.observer.observe(DependencyLost(_STORE, str(error)))
+
+    def _take_configurations(self, page, is_list):
+        context = self.context
+        for change in page.changes:
+            found = change.record
+            current = context.configuration
+            if found is None:
+                continue
+            if current is None or found.version > current.version:
+                context.configuration = found
+                self._believe("configuration", str(found.version))
+
+    def _take_replicas(self, page, is_list):
+        directory = self.context.fleet.directory
+        now = self.context.clock.monotonic()
+        if is_list:
+            records = [each.record for each in page.changes if each.record is not None]
+            directory.replace_all(records, now)
+            self._believe("replicas", f"{len(records)} listed")
+            return
+        for change in page.changes:
+            self._note_leaving(change)
+            if change.record is None:
+                directory.remove(change.name, now)
+            else:
+                directory.put(change.record)
+
+    def _note_leaving(self, change):
+        known = self.context.fleet.directory.find(change.name)
+        if change.record is None:
+            self._believe(f"replica {change.name}", "gone")
+        elif known is None:
+            self._believe(f"replica {change.name}", "new")
+        elif change.record.is_leaving and not known.is_leaving:
+            self._believe(f"replica {change.name}", "leaving")
+
+    def _take_versions(self, page, is_list):
+        for change in page.changes:
+            announced = change.record
+            if announced is not None:
+                self.context.versions.announce(
+                    announced.model, announced.adapter, announced.version
+                )
+                if not is_list:
+                    self._believe(f"adapter {change.name}", f"{announced.version}")
+
+    def _take_entries(self, page, is_list):
+        if is_list:
+            self._peers = {}
+        for change in page.changes:
+            stale = [ip for ip, name in self._peers.items() if name == change.name]
+            for ip in stale:
+                del self._peers[ip]
+            if change.record is not None:
+                self._peers[change.record] = change.name
+        context = self.context
+        self._peers.pop(context.settings.ip, None)
+        context.processes = len(self._peers) + 1
+        context.quotas.expect_peers(list(self._peers), context.clock.monotonic())
+        self._believe("entry processes", str(context.processes))
+
+    def _believe(self, subject, value):
+        self.context.observer.observe(BeliefChanged(subject, value))
+
+    def _tell_replicas(self):
+        context = self.context
+        now = context.clock.monotonic()
+        for replica_id in context.fleet.directory.expire(now):
+            self._believe(f"replica {replica_id}", "gone")
+        context.fleet.forget_gone()
+        for record in context.fleet.directory.list_all():
+            if self._has_engine(record):
+                context.tell_replica(record)
+        context.clock.call_later(DEMAND_INTERVAL, self._tell_replicas)
+
+    def _has_engine(self, record):
+        configuration = self.context.configuration
+        if configuration is None:
+            return False
+        service = configuration.find_service(record.service)
+        return service is not None and service.engine is not None
+
+    def _tell_peers(self):
+        context = self.context
+        message = EntryUsage(self._started, dict(context.quotas.admitted))
+        for ip in self._peers:
+            context.peers.send(ip, message)
+        context.clock.call_later(USAGE_INTERVAL, self._tell_peers)
--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/fleet.py
@@ -0,0 +1,109 @@
+"""What an entry process knows of the replicas, put together for decisions."""
+
+from datetime import timedelta
+
+from .health import ReplicaHealth
+from .loads import STATE_LIFETIME, ReplicaLoad
+from .placement import Candidate
+from .replicas import ReplicaDirectory
+
+# A replica's own statement of its load, in an answer, is soon out of date.
+STATEMENT_LIFETIME = timedelta(milliseconds=300)
+
+
+class _HeardState:
+    __slots__ = ("heard", "state")
+
+    def __init__(self, state, heard):
+        self.state = state
+        self.heard = heard
+
+
+class Fleet:
+    """Replicas, their loads, health and adapters, as one entry process knows them.
+
+    Parameters
+    ----------
+    clock : Clock
+        For the age of what is known.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.directory = ReplicaDirectory()
+        self.health = ReplicaHealth()
+        self._loads = {}
+        self._states = {}
+
+    def find_load(self, replica_id):
+        """Return the ReplicaLoad of a replica."""
+        load = self._loads.get(replica_id)
+        if load is None:
+            load = self._loads[replica_id] = ReplicaLoad()
+        return load
+
+    def note_state(self, ip, state):
+        """Take a ReplicaState from the side process on a VM."""
+        self._states[ip] = _HeardState(state, self._clock.monotonic())
+        for record in self.directory.list_all():
+            if record.ip == ip and record.born == state.born:
+                load = self.find_load(record.id)
+                load.others_in_flight = state.others_in_flight
+                load.others_unread_tokens = state.others_unread_tokens
+
+    def note_statement(self, record, statement):
+        """Take a ServerLoad from a replica's answer."""
+        load = self.find_load(record.id)
+        others = statement.running + statement.waiting - load.in_flight
+        load.others_in_flight = max(0, others)
+
+    def find_state(self, record):
+        """Return the fresh ReplicaState of a replica, or None."""
+        heard = self._states.get(record.ip)
+        if heard is None or heard.state.born != record.born:
+            return None
+        if self._clock.monotonic() - heard.heard > STATE_LIFETIME:
+            return None
+        return heard.state
+
+    def list_candidates(self, service, model, excluded):
+        """Return Candidates of a service; those in bad health only if no others.
+
+        Parameters
+        ----------
+        service : str
+            Its name.
+        model : str or None
+            Base model that is needed.
+        excluded : set of str
+            Ids of replicas that have refused the request already.
+        """
+        now = self._clock.monotonic()
+        records = self.directory.list_service(service)
+        records = [each for each in records if each.id not in excluded]
+        sound = [each for each in records if not self.health.is_avoided(each.id, now)]
+        return [self._make_candidate(each, model) for each in sound or records]
+
+    def forget_gone(self):
+        """Drop what is known of replicas that are not listed any more."""
+        listed = {record.id for record in self.directory.list_all()}
+        self.health.keep_only(listed)
+        for replica_id in set(self._loads) - listed:
+            if self._loads[replica_id].in_flight == 0:
+                del self._loads[replica_id]
+
+    def _make_candidate(self, record, model):
+        load = self.find_load(record.id)
+        if model is None:
+            return Candidate(record, load)
+        state = self.find_state(record)
+        if state is None:
+            held = {each.name: each.adapters for each in record.models}
+            return Candidate(record, load, held.get(model), {}, False)
+        prefix = model + "/"
+        pending = {
+            name[len(prefix) :]: version
+            for name, version in state.pending.items()
+            if name.startswith(prefix)
+        }
+        return Candidate(record, load, state.models.get(model), pending, True)
--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/following.py
@@ -0,0 +1,127 @@
+"""Following a kind of record in the platform's store through its outages."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from balsamspoke_types.exceptions import StoreUnavailable, WatchExpired
+
+from .timing import sleep
+
+# Pause after a failed call, doubled up to the longest: calls are paid for, also
+# refused ones, and the store's rate is shared.
+FIRST_PAUSE = timedelta(milliseconds=150)
+LONGEST_PAUSE = timedelta(milliseconds=600)
+
+
+@dataclass(frozen=True, slots=True)
+class RecordChange:
+    """A changed record, or the name of a removed one (record is None)."""
+
+    name: str
+    record: object
+
+
+@dataclass(frozen=True, slots=True)
+class RecordPage:
+    """Records as of a revision of the store.
+
+    Attributes
+    ----------
+    changes : tuple of RecordChange
+        Of a list, all records; of a watch, what has changed.
+    revision : int
+        Where a watch goes on.
+    """
+
+    changes: tuple[RecordChange, ...]
+    revision: int
+
+
+class StoreReachability:
+    """Whether the store answers this process.
+
+    Parameters
+    ----------
+    clock : Clock
+        Dates the changes.
+    on_return, on_loss : callable
+        Called without arguments when the store answers again, or no more.
+    """
+
+    def __init__(self, clock, on_return, on_loss):
+        self._clock = clock
+        self._on_return = on_return
+        self._on_loss = on_loss
+        self.is_reached = True
+        self.last_answer = None
+
+    def note_answer(self):
+        """Take note that the store has answered."""
+        self.last_answer = self._clock.monotonic()
+        if not self.is_reached:
+            self.is_reached = True
+            self._on_return()
+
+    def note_failure(self, error):
+        """Take note that a call has failed with an exception."""
+        if self.is_reached:
+            self.is_reached = False
+            self._on_loss(error)
+
+
+class Follower:
+    """Follow all records of one kind: list once, then watch.
+
+    Parameters
+    ----------
+    source : RecordSource
+        Lists and watches the kind.
+    clock : Clock
+        For pauses.
+    reachability : StoreReachability
+        Told of each answer and failure.
+    on_list, on_change : callable
+        Called with a RecordPage of all records, or of changes.
+    pause : timedelta
+        Least time between two polls; changes that come meanwhile come together.
+    """
+
+    def __init__(self, source, clock, reachability, on_list, on_change, pause):
+        self._source = source
+        self._clock = clock
+        self._reachability = reachability
+        self._on_list = on_list
+        self._on_change = on_change
+        self._pause = pause
+
+    async def run(self):
+        """Follow until cancelled."""
+        failures = 0
+        while True:
+            try:
+                revision = await self._list()
+                failures = 0
+                await self._watch(revision)
+            except WatchExpired:
+                continue
+            except StoreUnavailable as error:
+                self._reachability.note_failure(error)
+                pause = min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** min(failures, 4))
+                failures += 1
+                await sleep(self._clock, pause)
+
+    async def _list(self):
+        page = await self._source.list_all()
+        self._reachability.note_answer()
+        self._on_list(page)
+        return page.revision
+
+    async def _watch(self, revision):
+        while True:
+            page = await self._source.poll(revision)
+            self._reachability.note_answer()
+            if page.changes:
+                self._on_change(page)
+            revision = max(revision, page.revision)
+            if page.changes and self._pause:
+                await sleep(self._clock, self._pause)
--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -0,0 +1,352 @@
+"""One request from its arrival to its final answer."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from twisted.internet.defer import CancelledError
+from twisted.python.failure import Failure
+
+from .attempt import Attempt, NotRun
+from .configuration import RequestKind
+from .demands import want_adapter
+from .exceptions import (
+    NO_DELAY,
+    AnswerLost,
+    AnswerOverdue,
+    NoReplica,
+    NotReady,
+    NotSent,
+    OutcomeUnknown,
+    OverLimit,
+    Overloaded,
+    RequestRefused,
+    TimedOut,
+)
+from .observing import AttemptEnded, RequestEnded
+from .placement import Choice, choose_engine, choose_plain
+from .timing import limit
+
+# A caller that is refused for want of capacity comes back after about this long.
+BUSY_RETRY_AFTER = timedelta(milliseconds=300)
+# Replicas asked in vain before a request is refused, whatever the budget allows.
+MOST_TRIES = 4
+# How long a request waits for an adapter before it looks for another replica.
+ADAPTER_PATIENCE = timedelta(milliseconds=700)
+# Part of the objective by which a request must be predicted to begin.
+ADMITTED_PART = 1.0
+# A replica that has not begun within this many objectives is given up, if the
+# request may go to another one.
+OVERDUE_OBJECTIVES = 2.0
+
+_ANSWERED = "answered"
+
+
+@dataclass(slots=True)
+class Progress:
+    """How far a request has come.
+
+    Attributes
+    ----------
+    excluded : set of str
+        Ids of replicas that it does not go to again.
+    runs, tries : int
+        Attempts that may have run, and all of them.
+    last_event : int or None
+        Id of the stream's last event that the caller has.
+    first_event_at : timedelta or None
+        When the first event went on to the caller.
+    """
+
+    excluded: set = field(default_factory=set)
+    runs: int = 0
+    tries: int = 0
+    last_event: int | None = None
+    first_event_at: timedelta | None = None
+
+
+class Forwarding:
+    """Carry one CallerRequest to replicas and the answer to a CallerSink.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        Of the process.
+    request : CallerRequest
+        What the caller sent.
+    sink : CallerSink
+        Takes the answer.
+    """
+
+    def __init__(self, context, request, sink):
+        self.context = context
+        self.request = request
+        self.sink = sink
+        self.progress = Progress(last_event=request.last_event)
+        self.route = None
+        self.team = None
+        self.service = None
+        self.began = context.clock.monotonic()
+        self.deadline = None
+        self._charged = 0
+        self._last_error = None
+
+    async def run(self):
+        """Answer the request; never fails."""
+        try:
+            self._admit()
+            await self._forward()
+            self._report(_ANSWERED)
+        except RequestRefused as error:
+            self._refund()
+            self._refuse(error)
+        except (TimedOut, OutcomeUnknown) as error:
+            self._fail(error)
+        except CancelledError:
+            self._report("CallerLeft")
+        except Exception:
+            # A bug must not leave the caller without an answer.
+            self.context.note_bug(Failure())
+            self._fail(OutcomeUnknown("internal error"))
+
+    def time_left(self):
+        """Return the timedelta until the request's deadline."""
+        return self.deadline - self.context.clock.monotonic()
+
+    def _admit(self):
+        """Find route and team, and charge the team."""
+        configuration = self.context.configuration
+        if configuration is None:
+            raise NotReady("no configuration is known yet", BUSY_RETRY_AFTER)
+        request = self.request
+        self.route = configuration.find_route(request.host, request.path)
+        if configuration.teams and not self.route.is_open:
+            self.team = configuration.find_team(request.key)
+        patience = self.route.timeout
+        if request.patience is not None:
+            patience = min(patience, request.patience)
+        self.deadline = self.began + patience
+        self.service = self.route.choose_service(self.context.draw())
+        self._charge()
+
+    def _charge(self):
+        if self.team is None:
+            return
+        tokens = self.request.token_cost
+        if tokens is None:
+            tokens = self.team.plain_tokens
+        quotas = self.context.quotas
+        delay = quotas.take(self.team, tokens, self.began)
+        if delay is not None:
+            raise OverLimit(f"team {self.team.name} is over its limit", delay)
+        self._charged = tokens
+
+    def _refund(self):
+        if self._charged and self.progress.runs == 0:
+            self.context.quotas.give_back(self.team, self._charged)
+            self._charged = 0
+
+    async def _forward(self):
+        budget = self.context.find_retry_budget(self.service)
+        while True:
+            choice = await self._place()
+            if self.progress.tries and not self._may_retry(budget):
+                raise self._give_up(self._last_error)
+            if not self.progress.tries:
+                budget.note_request(self.context.clock.monotonic())
+            try:
+                await self._attempt(choice)
+                return
+            except NotSent as error:
+                self._last_error = error
+            except NotRun as error:
+                self._last_error = error
+                self.progress.tries += 1
+            except (AnswerLost, AnswerOverdue) as error:
+                self._last_error = error
+                self.progress.tries += 1
+                self.progress.runs += 1
+                if not self._may_repeat():
+                    raise self._give_up(error)
+            self.progress.excluded.add(choice.candidate.record.id)
+
+    def _may_repeat(self):
+        """Whether the request may run once more."""
+        if self.sink.is_started and self.progress.last_event is None:
+            return False
+        return self.route.is_idempotent and self.progress.runs < self.route.attempts
+
+    def _may_retry(self, budget):
+        if self.progress.tries >= MOST_TRIES:
+            return False
+        now = self.context.clock.monotonic()
+        return budget.take(now, self.context.processes)
+
+    def _give_up(self, error):
+        """Return the error to end with after an AttemptError."""
+        if self.progress.runs:
+            return OutcomeUnknown(str(error))
+        return NoReplica(str(error), BUSY_RETRY_AFTER)
+
+    async def _place(self):
+        """Return a Choice whose adapter is in place."""
+        while True:
+            choice = self._choose()
+            if not choice.must_load:
+                return choice
+            if await self._wait_for_adapter(choice):
+                return choice
+
+    def _choose(self):
+        prompt = self.request.prompt
+        fleet = self.context.fleet
+        model = None if prompt is None else prompt.target.model
+        candidates = fleet.list_candidates(self.service, model, self.progress.excluded)
+        if not candidates:
+            raise self._end_without_replica()
+        zone = self.context.settings.zone
+        if prompt is None:
+            best = choose_plain(candidates, zone, self.context.draw)
+            return Choice(best, NO_DELAY)
+        version = self.context.versions.find(prompt.target)
+        choice = choose_engine(
+            candidates,
+            prompt,
+            version,
+            zone,
+            lambda replica: self.context.read_parts.count_kept(prompt, replica),
+        )
+        if choice is None:
+            raise self._end_without_replica()
+        self._check_wait(choice)
+        return choice
+
+    def _end_without_replica(self):
+        if self.progress.runs:
+            return OutcomeUnknown("no other replica can take the request")
+        return NoReplica(f"no replica of {self.service}", BUSY_RETRY_AFTER)
+
+    def _check_wait(self, choice):
+        """Refuse at once what could not begin in time."""
+        if self.progress.runs:
+            return
+        spent = self.context.clock.monotonic() - self.began
+        latest = ADMITTED_PART * self.route.objective
+        if spent + choice.wait > latest:
+            late = spent + choice.wait - latest
+            raise Overloaded(
+                f"a wait of {choice.wait.total_seconds():.3f} s is predicted",
+                max(BUSY_RETRY_AFTER, late),
+            )
+
+    async def _wait_for_adapter(self, choice):
+        """Return whether a replica has the adapter that it has to load."""
+        record = choice.candidate.record
+        target = self.request.prompt.target
+        wanted = want_adapter(target, self.context.versions.find(target))
+        waiter = self.context.demands.wait_for(record.id, wanted)
+        self.context.tell_replica(record)
+        patience = min(ADAPTER_PATIENCE, self.time_left())
+        try:
+            await limit(waiter, self.context.clock, patience, AnswerOverdue())
+        except AnswerOverdue:
+            if self.time_left() <= NO_DELAY:
+                raise self._end_overdue()
+            return False
+        return True
+
+    def _end_overdue(self):
+        if self.progress.runs:
+            return TimedOut("the time for the answer is over")
+        return Overloaded("the adapter was not loaded in time", BUSY_RETRY_AFTER)
+
+    async def _attempt(self, choice):
+        attempt = Attempt(self, choice)
+        clock = self.context.clock
+        began = clock.monotonic()
+        outcome = _ANSWERED
+        try:
+            await attempt.run()
+        except BaseException as error:
+            outcome = type(error).__name__
+            raise
+        finally:
+            ended = AttemptEnded(
+                self.request.id,
+                choice.candidate.record.id,
+                self.service,
+                outcome,
+                attempt.status,
+                clock.monotonic() - began,
+                choice.wait,
+            )
+            self.context.observer.observe(ended)
+
+    def find_version(self, record):
+        """Return the adapter version that a replica holds for this request."""
+        target = self.request.prompt.target
+        if target.adapter is None:
+            return None
+        state = self.context.fleet.find_state(record)
+        if state is not None:
+            return state.models.get(target.model, {}).get(target.adapter)
+        for model in record.models:
+            if model.name == target.model:
+                return model.adapters.get(target.adapter)
+        return None
+
+    def choose_attempt_time(self):
+        """Return how long an attempt may take to its answer or first event."""
+        left = self.time_left()
+        may_move = (
+            self.route.is_idempotent
+            and self.progress.runs + 1 < self.route.attempts
+            and len(self.context.fleet.directory.list_service(self.service)) > 1
+        )
+        if not may_move:
+            return left
+        return min(left, OVERDUE_OBJECTIVES * self.route.objective)
+
+    @property
+    def can_repeat(self):
+        """Whether another attempt after this one may run."""
+        return (
+            self.route.is_idempotent
+            and not self.sink.is_started
+            and self.progress.runs + 1 < self.route.attempts
+        )
+
+    @property
+    def is_stream(self):
+        """Whether the answer is a stream of events."""
+        return self.route.kind is RequestKind.STREAMING
+
+    def _refuse(self, error):
+        if self.sink.is_started:
+            self.sink.abort()
+        else:
+            self.sink.refuse(error)
+        self._report(type(error).__name__, str(error))
+
+    def _fail(self, error):
+        if self.sink.is_started:
+            self.sink.abort()
+        else:
+            self.sink.fail(error)
+        self._report(type(error).__name__, str(error))
+
+    def _report(self, outcome, reason=""):
+        progress = self.progress
+        first = progress.first_event_at
+        self.context.observer.observe(
+            RequestEnded(
+                self.request.id,
+                "" if self.route is None else self.route.name,
+                "" if self.team is None else self.team.name,
+                outcome,
+                reason,
+                self.sink.status,
+                progress.tries,
+                self.context.clock.monotonic() - self.began,
+                None if first is None else first - self.began,
+            )
+        )
--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/health.py
@@ -0,0 +1,62 @@
+"""Which replicas answer: judged by their answers, not by what they claim."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+FAILURES_TO_AVOID = 2
+"""Failures in a row after which a replica gets no requests for a time."""
+
+FIRST_PAUSE = timedelta(milliseconds=500)
+LONGEST_PAUSE = timedelta(seconds=4)
+
+
+@dataclass(slots=True)
+class _State:
+    failures: int = 0
+    pauses: int = 0
+    avoided_until: timedelta = timedelta(0)
+    is_tried: bool = False
+
+
+class ReplicaHealth:
+    """Circuit breaker over the replicas, by id.
+
+    Answers replicas that are dark, mute or break off: after failures in a row a
+    replica is left out, then one request at a time tries it, and each failed try
+    doubles the pause. A success ends it.
+    """
+
+    def __init__(self):
+        self._states = {}
+
+    def note_success(self, replica_id):
+        """Take note of an answer that came."""
+        self._states.pop(replica_id, None)
+
+    def note_failure(self, replica_id, now, is_certain=False):
+        """Take note that no answer came; certain if no connection is accepted."""
+        state = self._states.setdefault(replica_id, _State())
+        state.failures += 1
+        state.is_tried = False
+        if state.failures < FAILURES_TO_AVOID and not is_certain:
+            return
+        pause = min(LONGEST_PAUSE, FIRST_PAUSE * 2**state.pauses)
+        state.pauses += 1
+        state.avoided_until = now + pause
+
+    def note_try(self, replica_id, now):
+        """Take note that a request goes to a replica."""
+        state = self._states.get(replica_id)
+        if state is not None and state.pauses:
+            state.is_tried = True
+            state.avoided_until = now + LONGEST_PAUSE
+
+    def is_avoided(self, replica_id, now):
+        """Whether to send it nothing while others can take the request."""
+        state = self._states.get(replica_id)
+        return state is not None and now < state.avoided_until
+
+    def keep_only(self, replica_ids):
+        """Forget the replicas that are gone."""
+        for replica_id in set(self._states) - set(replica_ids):
+            del self._states[replica_id]
--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/placement.py
@@ -0,0 +1,143 @@
+"""Where a request goes: the replica that can begin on it first."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+import xxhash
+
+from .loads import ReplicaLoad
+from .replicas import ReplicaRecord
+
+# What it costs to wait for an adapter, in seconds: somewhat above the time of a
+# load, so that a small difference in load does not spread an adapter.
+LOAD_COST = 0.35
+# The same for an adapter that is on its way already.
+PENDING_COST = 0.12
+# Slowing of all running requests by one more, in seconds.
+RUNNING_COST = 0.001
+# Preference for the same replica by all entry processes, in seconds a rank.
+RANK_COST = 0.004
+# Bytes between failure domains are paid for; worth this wait, in seconds.
+DOMAIN_COST = 0.002
+# A request at a replica with one slot in use waits about this long, in seconds.
+SLOT_COST = 0.02
+# Part of a session's prompt that its last replica still keeps.
+KEPT_PART = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A replica that may take a request.
+
+    Attributes
+    ----------
+    record : ReplicaRecord
+        Who it is.
+    load : ReplicaLoad
+        What waits there.
+    held : dict or None
+        Adapter versions of the request's model; None if it lacks the model.
+    pending : dict
+        Adapters of the model on their way, and their versions.
+    can_load : bool
+        Whether its side process is heard and loads what is asked for.
+    """
+
+    record: ReplicaRecord
+    load: ReplicaLoad
+    held: dict[str, int] | None = None
+    pending: dict[str, int] | None = None
+    can_load: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Where a request goes.
+
+    Attributes
+    ----------
+    candidate : Candidate
+        The replica.
+    wait : timedelta
+        Predicted time to the first event.
+    must_load : bool
+        Whether its adapter has to be loaded before it is sent.
+    """
+
+    candidate: Candidate
+    wait: timedelta
+    must_load: bool = False
+
+
+def rank_replicas(key, candidates):
+    """Return candidates in an order that all processes share for a key."""
+    return sorted(
+        candidates,
+        key=lambda each: xxhash.xxh32_intdigest(f"{key}/{each.record.id}".encode()),
+    )
+
+
+def choose_plain(candidates, zone, draw):
+    """Return the Candidate of a service without models that is least loaded.
+
+    Parameters
+    ----------
+    candidates : list of Candidate
+        Not empty.
+    zone : str
+        Where this process is.
+    draw : callable
+        Returns a number from 0 to below 1; breaks ties.
+    """
+
+    def count_cost(each):
+        busy = each.load.in_flight + each.load.others_in_flight
+        cost = SLOT_COST * busy / max(1, each.record.slots)
+        if each.record.zone != zone:
+            cost += DOMAIN_COST
+        return cost, draw()
+
+    return min(candidates, key=count_cost)
+
+
+def choose_engine(candidates, prompt, version, zone, kept_tokens):
+    """Return the Choice of the engine that begins first, or None.
+
+    Answers a skewed popularity of adapters: one that is asked for seldom stays at
+    the first replica of its rank; one that loads its replica more than a load
+    takes spreads to the next.
+
+    Parameters
+    ----------
+    candidates : list of Candidate
+        Those of the service.
+    prompt : Prompt
+        What the request asks.
+    version : int
+        Oldest version of the adapter that will do.
+    zone : str
+        Where this process is.
+    kept_tokens : callable
+        Returns the tokens of the prompt that a replica (by id) has read already.
+    """
+    best = None
+    adapter = prompt.target.adapter
+    key = f"{prompt.target.model}/{adapter}"
+    usable = [each for each in candidates if each.held is not None]
+    for rank, each in enumerate(rank_replicas(key, usable)):
+        must_load = adapter is not None and each.held.get(adapter, -1) < version
+        if must_load and not each.can_load:
+            continue
+        tokens = max(1, prompt.tokens - kept_tokens(each.record.id))
+        wait = each.load.predict_wait(tokens).total_seconds()
+        cost = wait + rank * RANK_COST
+        cost += RUNNING_COST * (each.load.in_flight + each.load.others_in_flight)
+        if each.record.zone != zone:
+            cost += DOMAIN_COST
+        if must_load:
+            is_coming = each.pending.get(adapter, -1) >= version
+            cost += PENDING_COST if is_coming else LOAD_COST
+            wait += PENDING_COST if is_coming else LOAD_COST
+        if best is None or cost < best[0]:
+            best = (cost, Choice(each, timedelta(seconds=wait), must_load))
+    return None if best is None else best[1]
--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/quotas.py
@@ -0,0 +1,115 @@
+"""The teams' limits in tokens, over all entry processes together."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+# A peer that was not heard for this long may be cut off and serve on by itself.
+PEER_SILENCE = timedelta(seconds=1)
+# A peer that was not heard for this long has ended or serves too little to matter.
+PEER_FORGOTTEN = timedelta(seconds=20)
+# Part of the burst that a new process may spend: it does not know what it or the
+# others spent just before it started.
+FIRST_LEVEL = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class PeerUsage:
+    """What another entry process has admitted since it started, by team."""
+
+    started: int
+    tokens: dict[str, float]
+
+
+class _Bucket:
+    __slots__ = ("level", "updated")
+
+    def __init__(self, level, updated):
+        self.level = level
+        self.updated = updated
+
+
+class TeamQuotas:
+    """Admit requests within each team's rate and burst.
+
+    Each process runs the bucket of the whole fleet: it takes its own requests from
+    it at once, and those of its peers when it hears of them. Between hearing and
+    taking, all processes together may admit the traffic of one message's interval
+    too much, which the limits' tolerance covers. A process that does not hear some
+    of its peers refills only its group's part, so that two groups that are cut from
+    each other stay below the limit together.
+    """
+
+    def __init__(self):
+        self._buckets = {}
+        self._admitted = {}
+        self._peers = {}
+        self._heard = {}
+
+    @property
+    def admitted(self):
+        """Tokens admitted here since the start, by team."""
+        return self._admitted
+
+    def take(self, team, tokens, now):
+        """Admit a request of a Team, or return when to come back.
+
+        Returns
+        -------
+        timedelta or None
+            None if the request is admitted.
+        """
+        if team.rate <= 0:
+            return None
+        rate = team.rate * self._find_part(now)
+        bucket = self._refill(team, rate, now)
+        if bucket.level > 0:
+            bucket.level -= tokens
+            self._admitted[team.name] = self._admitted.get(team.name, 0.0) + tokens
+            return None
+        return timedelta(seconds=(tokens - bucket.level) / rate)
+
+    def give_back(self, team, tokens):
+        """Take back an admitted request that has not run."""
+        bucket = self._buckets.get(team.name)
+        if bucket is None:
+            return
+        bucket.level = min(team.burst, bucket.level + tokens)
+        self._admitted[team.name] -= tokens
+
+    def note_peer(self, peer, usage, now):
+        """Take a PeerUsage from a peer, named by its VM."""
+        self._heard[peer] = now
+        last = self._peers.get(peer)
+        self._peers[peer] = usage
+        if last is None:
+            return
+        is_restart = last.started != usage.started
+        for name, tokens in usage.tokens.items():
+            before = 0.0 if is_restart else last.tokens.get(name, 0.0)
+            bucket = self._buckets.get(name)
+            if bucket is not None:
+                bucket.level -= tokens - before
+
+    def expect_peers(self, peers, now):
+        """Take the names of all peers that are registered."""
+        for peer in peers:
+            self._heard.setdefault(peer, now)
+        for peer in set(self._heard) - set(peers):
+            del self._heard[peer]
+            self._peers.pop(peer, None)
+
+    def _find_part(self, now):
+        """Return the part of the rate that is this group's."""
+        silences = [now - heard for heard in self._heard.values()]
+        silent = sum(PEER_SILENCE < each < PEER_FORGOTTEN for each in silences)
+        return 1 - silent / (len(silences) + 1)
+
+    def _refill(self, team, rate, now):
+        bucket = self._buckets.get(team.name)
+        if bucket is None:
+            bucket = _Bucket(team.burst * FIRST_LEVEL, now)
+            self._buckets[team.name] = bucket
+        gained = rate * (now - bucket.updated).total_seconds()
+        bucket.level = min(team.burst, bucket.level + gained)
+        bucket.updated = now
+        return bucket
--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -0,0 +1,144 @@
+"""The core of a side process: it gives the orders to the replica beside it."""
+
+from datetime import timedelta
+
+from twisted.internet.defer import Deferred
+
+from .adapters import AdapterPlan, Order
+from .exceptions import AttemptError
+from .messages import EntryDemand, ReplicaState
+from .observing import BeliefChanged, DependencyLost, DependencyRegained
+
+# How often the replica is asked for its state; the call is free on its own VM.
+REPORT_INTERVAL = timedelta(milliseconds=150)
+# After an order the state is asked for again at once, but not in a busy loop.
+ORDER_INTERVAL = timedelta(milliseconds=20)
+# Entry processes hear the state this often though nothing has changed.
+STATE_INTERVAL = timedelta(milliseconds=200)
+
+_REPLICA = "replica"
+
+
+class SideCore:
+    """Load what the entry processes ask for, and tell them the replica's state.
+
+    A replica and its side process share one VM for as long as either lives, so this
+    process alone gives the orders and no lease has to change hands.
+
+    Parameters
+    ----------
+    clock : Clock
+        For intervals and ages.
+    replica : ReplicaControl
+        Reports of the replica and orders to it.
+    peers : PeerSender
+        Sends states to the entry processes.
+    observer : Observer
+        Told of orders and of the replica's loss.
+    find_engine : callable
+        Returns the EngineLimits of the replica's service; None if not known.
+    """
+
+    def __init__(self, clock, replica, peers, observer, find_engine):
+        self._clock = clock
+        self._replica = replica
+        self._peers = peers
+        self._observer = observer
+        self._find_engine = find_engine
+        self._plan = AdapterPlan()
+        self._report = None
+        self._is_reached = True
+        self._last_sent = None
+        self._last_sent_at = timedelta(0)
+        self._urgent = None
+
+    def start(self):
+        """Begin; return the running Deferred."""
+        return Deferred.fromCoroutine(self._run())
+
+    def take_message(self, ip, message):
+        """Take a message of an entry process."""
+        if not isinstance(message, EntryDemand):
+            return
+        self._plan.note_demand(ip, message, self._clock.monotonic())
+        if message.wanted and self._urgent is not None:
+            urgent, self._urgent = self._urgent, None
+            urgent.cancel()
+
+    async def _run(self):
+        while True:
+            ordered = await self._step()
+            await self._pause(ORDER_INTERVAL if ordered else REPORT_INTERVAL)
+
+    async def _pause(self, interval):
+        """Wait for an interval, or until an entry process waits for an adapter."""
+        waiter = Deferred(lambda each: each.callback(None))
+        timer = self._clock.call_later(interval, waiter.cancel)
+        self._urgent = waiter
+        await waiter
+        timer.cancel()
+        self._urgent = None
+
+    async def _step(self):
+        """Read the state, tell it, give an order; return whether one was given."""
+        try:
+            self._report = await self._replica.read_report()
+        except AttemptError as error:
+            self._note_loss(error)
+            return False
+        self._note_return()
+        self._tell_entries()
+        engine = self._find_engine()
+        if engine is None:
+            return False
+        now = self._clock.monotonic()
+        order = self._plan.choose_order(self._report, engine, now)
+        if order is None:
+            return False
+        return await self._give(order)
+
+    async def _give(self, order):
+        try:
+            outcome = await self._replica.give_order(order, self._report.born)
+        except AttemptError as error:
+            outcome = type(error).__name__
+        self._observer.observe(BeliefChanged(f"order {_name_order(order)}", outcome))
+        return True
+
+    def _tell_entries(self):
+        now = self._clock.monotonic()
+        demands = self._plan.list_demands(now)
+        in_flight = sum(each.in_flight for each in demands.values())
+        unread = sum(each.unread_tokens for each in demands.values())
+        shown = (self._report.models, self._report.pending, set(demands))
+        is_new = shown != self._last_sent
+        if not is_new and now - self._last_sent_at < STATE_INTERVAL:
+            return
+        self._last_sent = shown
+        self._last_sent_at = now
+        for entry, demand in demands.items():
+            state = ReplicaState(
+                self._report.born,
+                self._report.models,
+                self._report.pending,
+                self._report.running,
+                self._report.waiting,
+                in_flight - demand.in_flight,
+                unread - demand.unread_tokens,
+            )
+            self._peers.send(entry, state)
+
+    def _note_loss(self, error):
+        if self._is_reached:
+            self._is_reached = False
+            self._observer.observe(DependencyLost(_REPLICA, str(error)))
+
+    def _note_return(self):
+        if not self._is_reached:
+            self._is_reached = True
+            self._observer.observe(DependencyRegained(_REPLICA))
+
+
+def _name_order(order: Order):
+    name = order.model if order.adapter is None else f"{order.model}/{order.adapter}"
+    return f"{order.kind.value} {name}@{order.version}"
--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/streams.py
@@ -0,0 +1,48 @@
+"""Event streams: whole events out of pieces, so that a stream can be resumed."""
+
+from dataclasses import dataclass
+
+_EVENT_END = b"\n\n"
+_ID_FIELD = b"id:"
+
+
+@dataclass(frozen=True, slots=True)
+class StreamEvent:
+    """A whole event: its bytes with the empty line, and its id if it has one."""
+
+    data: bytes
+    id: int | None
+
+
+class EventSplitter:
+    """Cut a stream's bytes into whole events.
+
+    Only whole events go on to the caller, since a replica may stop in the middle
+    of one and another replica begins with a new one.
+    """
+
+    def __init__(self):
+        self._rest = b""
+
+    @property
+    def has_rest(self):
+        """Whether the bytes so far end in the middle of an event."""
+        return bool(self._rest)
+
+    def add(self, data):
+        """Take bytes; return a list of the StreamEvents that they complete."""
+        *events, self._rest = (self._rest + data).split(_EVENT_END)
+        return [_read_event(event) for event in events]
+
+    def drop_rest(self):
+        """Forget the part of an event that will not be completed."""
+        self._rest = b""
+
+
+def _read_event(text):
+    found = None
+    for line in text.split(b"\n"):
+        if line.startswith(_ID_FIELD):
+            value = line[len(_ID_FIELD) :].strip()
+            found = int(value) if value.isdigit() else None
+    return StreamEvent(text + _EVENT_END, found)
--- a/libs/platform/src/balsamspoke_platform/__init__.py
+++ b/libs/platform/src/balsamspoke_platform/__init__.py
@@ -1,6 +1,7 @@
 """Clients of the platform and of the backend servers, over HTTP."""
 
-from .clock import ReactorClock
+from balsamspoke_transport.clock import ReactorClock
+
 from .eager_port import listen_eagerly
 from .engine import HttpEngine
 from .event_stream import EventStreamParser
--- /dev/null
+++ b/libs/transport/src/balsamspoke_transport/logs.py
@@ -0,0 +1,134 @@
+"""Structured logs of an entry or side process on standard output."""
+
+import dataclasses
+import os
+from datetime import timedelta
+
+from balsamspoke_gateway.observing import (
+    AttemptEnded,
+    DependencyLost,
+    Observer,
+    RequestEnded,
+)
+from loguru import logger
+
+from .log_lines import add_line, choose_format
+
+STANDARD_OUTPUT = 1
+# Lines a second that are written on average, and at once; more are counted and
+# left out, so that a flood of refusals does not cost the processor.
+LINES_PER_SECOND = 50
+LINES_AT_ONCE = 300
+
+_ANSWERED = "answered"
+
+
+class LineWriter:
+    """Write lines to a file descriptor and never wait for its reader.
+
+    Parameters
+    ----------
+    descriptor : int
+        Made non-blocking.
+
+    Attributes
+    ----------
+    dropped : int
+        Lines that the reader was too slow for.
+    """
+
+    def __init__(self, descriptor):
+        self._descriptor = descriptor
+        self._rest = b""
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def __call__(self, message):
+        """Write a line, or drop it if the pipe is full."""
+        data = message.encode()
+        if self._rest:
+            self._rest = self._write(self._rest)
+        if self._rest:
+            self.dropped += 1
+            return
+        # A part of a line that was written is completed before the next one.
+        rest = self._write(data)
+        if len(rest) == len(data):
+            self.dropped += 1
+        else:
+            self._rest = rest
+
+    def _write(self, data):
+        try:
+            return data[os.write(self._descriptor, data) :]
+        except BlockingIOError:
+            return data
+        except OSError:
+            # The reader is gone; there is nobody left to tell.
+            return b""
+
+
+def set_up_logs(vm, descriptor=STANDARD_OUTPUT):
+    """Send logs to a file descriptor as JSON lines; return the LineWriter."""
+    writer = LineWriter(descriptor)
+    logger.remove()
+    logger.configure(extra={"vm": vm}, patcher=add_line)
+    logger.add(
+        writer, level="INFO", format=choose_format, diagnose=False, backtrace=False
+    )
+    return writer
+
+
+class LogObserver(Observer):
+    """Log what changes a belief or explains how a request ended.
+
+    Parameters
+    ----------
+    clock : Clock
+        Bounds the lines of a second.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._allowance = float(LINES_AT_ONCE)
+        self._updated = clock.monotonic()
+        self._left_out = 0
+
+    def observe(self, event):
+        """Log an event, unless it is the usual end of a request."""
+        if isinstance(event, AttemptEnded) and event.outcome == _ANSWERED:
+            return
+        if isinstance(event, RequestEnded) and event.outcome == _ANSWERED:
+            if event.attempts <= 1:
+                return
+        is_request = isinstance(event, (AttemptEnded, RequestEnded))
+        if is_request and not self._allow():
+            self._left_out += 1
+            return
+        self._write(event)
+
+    def _allow(self):
+        now = self._clock.monotonic()
+        gained = LINES_PER_SECOND * ((now - self._updated) / timedelta(seconds=1))
+        self._updated = now
+        self._allowance = min(LINES_AT_ONCE, self._allowance + gained)
+        if self._allowance < 1:
+            return False
+        self._allowance -= 1
+        return True
+
+    def _write(self, event):
+        fields = {
+            field.name: _simplify(getattr(event, field.name))
+            for field in dataclasses.fields(event)
+        }
+        if self._left_out:
+            fields["left_out"], self._left_out = self._left_out, 0
+        level = "WARNING" if isinstance(event, DependencyLost) else "INFO"
+        logger.bind(event=type(event).__name__, **fields).log(level, "")
+
+
+def _simplify(value):
+    if isinstance(value, timedelta):
+        return round(value.total_seconds(), 4)
+    return value
--- /dev/null
+++ b/libs/transport/src/balsamspoke_transport/process.py
@@ -0,0 +1,43 @@
+"""Start and graceful stop of a process."""
+
+import signal
+from datetime import timedelta
+
+from balsamspoke_gateway.timing import sleep
+from loguru import logger
+from twisted.internet.defer import Deferred
+
+# The balancer asks once a second and needs two misses to stop sending new
+# connections; after that idle connections are closed.
+LEAVE_TIME = timedelta(seconds=3)
+STEP = timedelta(milliseconds=100)
+# Left between the end of the process and the kill.
+KILL_MARGIN = timedelta(milliseconds=500)
+
+
+def run_reactor(reactor, clock, process):
+    """Run a process until it is told to stop and has finished its requests."""
+
+    def stop():
+        return Deferred.fromCoroutine(drain(clock, process))
+
+    reactor.addSystemEventTrigger("before", "shutdown", stop)
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(process.reload))
+    logger.bind(event="Started").info("")
+    reactor.run()
+    logger.bind(event="Ended").info("")
+
+
+async def drain(clock, process):
+    """Finish what is open, then close the idle connections."""
+    began = clock.monotonic()
+    logger.bind(event="Stopping", open_requests=process.open_requests).info("")
+    process.begin_stop()
+    last = process.stop_grace - KILL_MARGIN
+    while (spent := clock.monotonic() - began) < last:
+        if spent >= LEAVE_TIME or not process.has_callers:
+            process.close_idle()
+            if process.open_requests == 0:
+                break
+        await sleep(clock, STEP)
+    logger.bind(event="Stopped", open_requests=process.open_requests).info("")
