--- a/libs/gateway/src/balsamspoke_gateway/adapters.py
+++ b/libs/gateway/src/balsamspoke_gateway/adapters.py
@@ -102,6 +102,8 @@
         for wanted in demand.wanted:
             first = self._wishes.pop(wanted, (now, now))[0]
             self._wishes[wanted] = (first, now)
+            # Its first request follows at once; until that is told, it is in use.
+            self._last_used[wanted.adapter] = now
 
     def list_demands(self, now):
         """Return the EntryDemands that still count, by entry process."""
--- a/libs/gateway/src/balsamspoke_gateway/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -17,7 +17,6 @@
     NotReady,
     NotSent,
     OutcomeUnknown,
-    OverLimit,
     Overloaded,
     RequestRefused,
     TimedOut,
@@ -134,10 +133,7 @@
         tokens = self.request.token_cost
         if tokens is None:
             tokens = self.team.plain_tokens
-        quotas = self.context.quotas
-        delay = quotas.take(self.team, tokens, self.began)
-        if delay is not None:
-            raise OverLimit(f"team {self.team.name} is over its limit", delay)
+        self.context.quotas.take(self.team, tokens, self.began)
         self._charged = tokens
 
     def _refund(self):
@@ -226,16 +222,18 @@
         return NoReplica(f"no replica of {self.service}", BUSY_RETRY_AFTER)
 
     def _check_wait(self, choice):
-        """Refuse at once what could not begin in time."""
+        """Refuse at once what its replica could not begin in time.
+
+        Time spent on loading an adapter does not count: it uses none of the
+        engine's, and a late answer is still worth something.
+        """
         if self.progress.runs:
             return
-        spent = self.context.clock.monotonic() - self.began
         latest = ADMITTED_PART * self.route.objective
-        if spent + choice.wait > latest:
-            late = spent + choice.wait - latest
+        if choice.wait > latest:
             raise Overloaded(
                 f"a wait of {choice.wait.total_seconds():.3f} s is predicted",
-                max(BUSY_RETRY_AFTER, late),
+                max(BUSY_RETRY_AFTER, choice.wait - latest),
             )
 
     async def _wait_for_adapter(self, choice):
--- a/libs/gateway/src/balsamspoke_gateway/placement.py
+++ b/libs/gateway/src/balsamspoke_gateway/placement.py
@@ -59,7 +59,7 @@
     candidate : Candidate
         The replica.
     wait : timedelta
-        Predicted time to the first event.
+        Predicted time to the first event once its adapter is there.
     must_load : bool
         Whether its adapter has to be loaded before it is sent.
     """
@@ -137,7 +137,6 @@
         if must_load:
             is_coming = each.pending.get(adapter, -1) >= version
             cost += PENDING_COST if is_coming else LOAD_COST
-            wait += PENDING_COST if is_coming else LOAD_COST
         if best is None or cost < best[0]:
             best = (cost, Choice(each, timedelta(seconds=wait), must_load))
     return None if best is None else best[1]
--- a/libs/gateway/src/balsamspoke_gateway/quotas.py
+++ b/libs/gateway/src/balsamspoke_gateway/quotas.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from .exceptions import OverLimit
+
 # A peer that was not heard for this long may be cut off and serve on by itself.
 PEER_SILENCE = timedelta(seconds=1)
 # A peer that was not heard for this long has ended or serves too little to matter.
@@ -51,22 +53,25 @@
         return self._admitted
 
     def take(self, team, tokens, now):
-        """Admit a request of a Team, or return when to come back.
+        """Admit a request of a Team that costs so many tokens.
 
-        Returns
-        -------
-        timedelta or None
-            None if the request is admitted.
+        Raises
+        ------
+        OverLimit
+            If the team has to wait.
         """
         if team.rate <= 0:
-            return None
+            return
         rate = team.rate * self._find_part(now)
         bucket = self._refill(team, rate, now)
-        if bucket.level > 0:
-            bucket.level -= tokens
-            self._admitted[team.name] = self._admitted.get(team.name, 0.0) + tokens
-            return None
-        return timedelta(seconds=(tokens - bucket.level) / rate)
+        if bucket.level <= 0:
+            reason = (
+                f"team {team.name} is over its limit: {bucket.level:.0f} tokens left, "
+                f"{rate:.0f} of {team.rate:.0f} a second come back here"
+            )
+            raise OverLimit(reason, timedelta(seconds=(tokens - bucket.level) / rate))
+        bucket.level -= tokens
+        self._admitted[team.name] = self._admitted.get(team.name, 0.0) + tokens
 
     def give_back(self, team, tokens):
         """Take back an admitted request that has not run."""
