--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -81,7 +81,7 @@
             running.cancel()
 
     def handle(self, request, sink):
-        """Begin on a CallerRequest; return a Deferred to cancel if the caller leaves."""
+        """Begin on a CallerRequest; return a Deferred to cancel it."""
         forwarding = Forwarding(self.context, request, sink)
         running = Deferred.fromCoroutine(forwarding.run())
         self._open.add(running)
--- a/libs/gateway/src/balsamspoke_gateway/exceptions.py
+++ b/libs/gateway/src/balsamspoke_gateway/exceptions.py
@@ -36,7 +36,7 @@
 
 
 class NotReady(RequestRefused):
-    """This process knows no configuration yet, or is about to end."""
+    """The process knows no configuration yet, or is about to end."""
 
 
 class OverLimit(RequestRefused):
--- /dev/null
+++ b/libs/gateway/tests/test_adapters.py
@@ -0,0 +1,114 @@
+import unittest
+from datetime import timedelta
+
+from balsamspoke_gateway.adapters import AdapterPlan, EngineReport, OrderKind
+from balsamspoke_gateway.configuration import EngineLimits, EngineModel
+from balsamspoke_gateway.messages import EntryDemand, WantedAdapter
+from hypothesis import given
+from hypothesis import strategies as st
+
+MODEL = "base"
+ENGINE = EngineLimits((EngineModel(MODEL, 10.0),), 20.0, 3, 8)
+
+
+def seconds(number):
+    return timedelta(seconds=number)
+
+
+def want(*names, version=0):
+    return EntryDemand(tuple(WantedAdapter(MODEL, name, version) for name in names))
+
+
+def hold(*names, **others):
+    return EngineReport(1, {MODEL: dict.fromkeys(names, 1)}, **others)
+
+
+class AdapterPlanTests(unittest.TestCase):
+    def setUp(self):
+        self.plan = AdapterPlan()
+
+    def test_loads_the_model_first(self):
+        order = self.plan.choose_order(EngineReport(1), ENGINE, seconds(0))
+        self.assertEqual((order.kind, order.adapter), (OrderKind.LOAD, None))
+
+    def test_loads_what_was_asked_for_first(self):
+        self.plan.note_demand("e1", want("x"), seconds(1))
+        self.plan.note_demand("e2", want("y"), seconds(1.1))
+        order = self.plan.choose_order(hold(), ENGINE, seconds(1.2))
+        self.assertEqual(order.adapter, "x")
+
+    def test_expects_the_orders_that_the_report_tells(self):
+        self.plan.note_demand("e1", want("x"), seconds(1))
+        order = self.plan.choose_order(hold(orders=7), ENGINE, seconds(1))
+        self.assertEqual(order.expected_orders, 7)
+
+    def test_unloads_the_least_recently_used(self):
+        self.plan.note_demand("e1", EntryDemand(in_use=("a",)), seconds(1))
+        self.plan.note_demand("e1", EntryDemand(in_use=("b",)), seconds(2))
+        self.plan.note_demand("e1", EntryDemand(in_use=("c",)), seconds(3))
+        self.plan.note_demand("e1", want("x"), seconds(10))
+        order = self.plan.choose_order(hold("a", "b", "c"), ENGINE, seconds(10))
+        self.assertEqual((order.kind, order.adapter), (OrderKind.UNLOAD, "a"))
+
+    def test_keeps_an_adapter_that_was_just_loaded(self):
+        # Load pattern: a new adapter is asked for while its replica is full of
+        # older ones; it was made room for by the next wish before its request came.
+        self.plan.note_demand("e1", EntryDemand(in_use=("b", "c")), seconds(1))
+        self.plan.note_demand("e1", want("new"), seconds(5))
+        self.plan.note_demand("e2", want("next"), seconds(5.1))
+        order = self.plan.choose_order(hold("b", "c", "new"), ENGINE, seconds(5.2))
+        self.assertEqual((order.kind, order.adapter), (OrderKind.UNLOAD, "b"))
+
+    def test_counts_what_is_on_its_way(self):
+        self.plan.note_demand("e1", EntryDemand(in_use=("a", "b")), seconds(1))
+        self.plan.note_demand("e1", want("x", "y"), seconds(5))
+        report = hold("a", "b", pending={f"{MODEL}/x": 1})
+        order = self.plan.choose_order(report, ENGINE, seconds(5))
+        self.assertEqual(order.kind, OrderKind.UNLOAD)
+
+    def test_loads_a_newer_version_in_place(self):
+        self.plan.note_demand("e1", want("a", version=2), seconds(1))
+        order = self.plan.choose_order(hold("a", "b", "c"), ENGINE, seconds(1))
+        self.assertEqual((order.kind, order.adapter), (OrderKind.LOAD, "a"))
+        self.assertEqual(order.version, 2)
+
+    def test_forgets_wishes_that_are_not_repeated(self):
+        self.plan.note_demand("e1", want("x"), seconds(1))
+        self.assertIsNone(self.plan.choose_order(hold(), ENGINE, seconds(3)))
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from("abcdefgh"),
+                st.booleans(),
+                st.floats(0.01, 1.0),
+            ),
+            max_size=60,
+        )
+    )
+    def test_never_overfills_nor_unloads_what_is_in_use(self, steps):
+        plan = AdapterPlan()
+        held = {}
+        pending = {}
+        now = seconds(10)
+        for name, is_use, pause in steps:
+            now += seconds(pause)
+            in_use = tuple(held)[:2] if is_use else ()
+            wanted = (WantedAdapter(MODEL, name, 0),)
+            plan.note_demand("e1", EntryDemand(wanted, in_use), now)
+            report = EngineReport(1, {MODEL: dict(held)}, dict(pending))
+            order = plan.choose_order(report, ENGINE, now)
+            held.update({each.partition("/")[2]: 1 for each in pending})
+            pending = {}
+            if order is None:
+                continue
+            if order.kind is OrderKind.LOAD:
+                pending[f"{MODEL}/{order.adapter}"] = 1
+            else:
+                self.assertNotIn(order.adapter, in_use)
+                held.pop(order.adapter)
+            self.assertLessEqual(len(held) + len(pending), ENGINE.adapter_places)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/libs/gateway/tests/test_decisions.py
@@ -0,0 +1,256 @@
+import itertools
+import unittest
+from datetime import timedelta
+
+from balsamspoke_gateway.configuration import Team
+from balsamspoke_gateway.exceptions import OverLimit, UnknownRoute
+from balsamspoke_gateway.health import FIRST_PAUSE, ReplicaHealth
+from balsamspoke_gateway.loads import ReplicaLoad
+from balsamspoke_gateway.placement import Candidate, choose_engine, choose_plain
+from balsamspoke_gateway.quotas import PeerUsage, TeamQuotas
+from balsamspoke_gateway.replicas import RETURN_GRACE, ReplicaDirectory
+from balsamspoke_gateway.requests import AdapterName, Prompt
+from balsamspoke_gateway.retries import RetryBudget
+from balsamspoke_gateway.sessions import ReadParts
+from balsamspoke_gateway.streams import EventSplitter
+from balsamspoke_gateway.versions import AdapterVersions
+from hypothesis import given
+from hypothesis import strategies as st
+
+from .world import CONFIGURATION, HOST, make_record, seconds
+
+
+class RouteTests(unittest.TestCase):
+    def test_finds_the_longest_prefix(self):
+        route = CONFIGURATION.find_route(HOST, "/safe/x/y")
+        self.assertEqual(route.name, "safe")
+
+    def test_knows_no_part_of_a_prefix(self):
+        for path in ("/safe", "/saf/x", "/", ""):
+            with self.assertRaises(UnknownRoute):
+                CONFIGURATION.find_route(HOST, path)
+
+
+class DirectoryTests(unittest.TestCase):
+    def setUp(self):
+        self.directory = ReplicaDirectory()
+        self.directory.replace_all([make_record("a"), make_record("b")], seconds(0))
+
+    def list_ids(self):
+        return {each.id for each in self.directory.list_service("plain")}
+
+    def test_believes_a_removal_at_once(self):
+        self.directory.remove("a", seconds(1))
+        self.assertEqual(self.list_ids(), {"b"})
+
+    def test_leaving_replicas_get_nothing_new(self):
+        self.directory.put(make_record("a", is_leaving=True))
+        self.assertEqual(self.list_ids(), {"b"})
+
+    def test_keeps_lapsed_entries_for_the_grace_after_an_outage(self):
+        self.directory.note_return(seconds(10))
+        self.directory.replace_all([], seconds(10))
+        self.assertEqual(self.list_ids(), {"a", "b"})
+        self.directory.put(make_record("a"))
+        now = seconds(10) + RETURN_GRACE
+        self.assertEqual(self.directory.expire(now), ["b"])
+        self.assertEqual(self.list_ids(), {"a"})
+
+    def test_a_leaving_entry_counts_at_once_after_an_outage(self):
+        self.directory.note_return(seconds(10))
+        self.directory.put(make_record("a", is_leaving=True))
+        self.assertEqual(self.list_ids(), {"b"})
+
+
+class HealthTests(unittest.TestCase):
+    def test_one_failure_does_not_leave_a_replica_out(self):
+        health = ReplicaHealth()
+        health.note_failure("a", seconds(1))
+        self.assertFalse(health.is_avoided("a", seconds(1)))
+
+    def test_one_request_tries_a_failed_replica(self):
+        health = ReplicaHealth()
+        health.note_failure("a", seconds(1), is_certain=True)
+        self.assertTrue(health.is_avoided("a", seconds(1)))
+        after = seconds(1) + FIRST_PAUSE
+        self.assertFalse(health.is_avoided("a", after))
+        health.note_try("a", after)
+        self.assertTrue(health.is_avoided("a", after))
+        health.note_success("a")
+        self.assertFalse(health.is_avoided("a", after))
+
+
+class RetryBudgetTests(unittest.TestCase):
+    @given(st.lists(st.tuples(st.booleans(), st.floats(0, 3)), max_size=120))
+    def test_any_window_keeps_the_ratio(self, steps):
+        budget = RetryBudget(0.2, 10.0, seconds(10))
+        now = timedelta(0)
+        requests, retries = [], []
+        for is_retry, pause in steps:
+            now += seconds(pause)
+            if is_retry:
+                if budget.take(now, 2):
+                    retries.append(now)
+            else:
+                budget.note_request(now)
+                requests.append(now)
+            begin = now - seconds(10)
+            window = [each for each in retries if each > begin]
+            asked = [each for each in requests if each > begin]
+            self.assertLessEqual(len(window), 0.2 * len(asked) + 10.0 / 2)
+
+
+class QuotaTests(unittest.TestCase):
+    TEAM = Team("harbour", frozenset(), rate=100.0, burst=200.0)
+
+    def admit(self, quotas, tokens, now):
+        try:
+            quotas.take(self.TEAM, tokens, now)
+        except OverLimit:
+            return 0
+        return tokens
+
+    @given(
+        st.lists(
+            st.tuples(st.integers(0, 2), st.integers(1, 40), st.floats(0, 0.05)),
+            max_size=300,
+        )
+    )
+    def test_processes_that_hear_each_other_keep_the_limit(self, steps):
+        names = ["e0", "e1", "e2"]
+        processes = {name: TeamQuotas() for name in names}
+        now = seconds(100)
+        for name in names:
+            others = [each for each in names if each != name]
+            processes[name].expect_peers(others, now)
+        told = now
+        admitted = 0
+        begin = now
+        for number, tokens, pause in steps:
+            now += seconds(pause)
+            if now - told >= seconds(0.25):
+                told = now
+                for name in names:
+                    usage = PeerUsage(1, dict(processes[name].admitted))
+                    for other in names:
+                        if other != name:
+                            processes[other].note_peer(name, usage, now)
+            admitted += self.admit(processes[names[number]], tokens, now)
+            passed = (now - begin).total_seconds()
+            # Each process may be unaware of what the others admitted in an interval,
+            # and of one request more: three levels and three requests at the most.
+            bound = 3 * (200 + 100 * passed) if passed < 0.3 else None
+            if bound is None:
+                bound = 100 * passed + 200 + 3 * 200
+            self.assertLessEqual(admitted, bound)
+
+    def test_a_group_that_is_cut_off_keeps_its_part(self):
+        quotas = TeamQuotas()
+        quotas.expect_peers(["e1", "e2", "e3"], seconds(0))
+        now = seconds(5)
+        while self.admit(quotas, 10, now):
+            pass
+        admitted = 0
+        for step in range(100):
+            admitted += self.admit(quotas, 10, now + seconds(step / 10))
+        self.assertLessEqual(admitted, 100 * 10 / 4 + 20)
+
+    def test_takes_what_a_peer_says_off_its_own_level(self):
+        quotas = TeamQuotas()
+        quotas.expect_peers(["e1"], seconds(0))
+        quotas.note_peer("e1", PeerUsage(1, {"harbour": 0.0}), seconds(0))
+        self.admit(quotas, 1, seconds(0))
+        quotas.note_peer("e1", PeerUsage(1, {"harbour": 500.0}), seconds(0.1))
+        self.assertEqual(self.admit(quotas, 1, seconds(0.2)), 0)
+
+    def test_a_restarted_peer_counts_from_zero(self):
+        quotas = TeamQuotas()
+        quotas.expect_peers(["e1"], seconds(0))
+        quotas.note_peer("e1", PeerUsage(1, {"harbour": 500.0}), seconds(0))
+        self.admit(quotas, 1, seconds(0))
+        quotas.note_peer("e1", PeerUsage(2, {"harbour": 10.0}), seconds(0.1))
+        self.assertEqual(self.admit(quotas, 1, seconds(0.1)), 1)
+
+
+class StreamTests(unittest.TestCase):
+    @given(st.lists(st.integers(0, 60)))
+    def test_pieces_make_the_same_events(self, cuts):
+        data = b"".join(b"id: %d\ndata: abc\n\n" % number for number in range(8))
+        splitter = EventSplitter()
+        events = []
+        places = [0, *sorted(min(cut, len(data)) for cut in cuts), len(data)]
+        for begin, end in itertools.pairwise(places):
+            events += splitter.add(data[begin:end])
+        self.assertEqual([each.id for each in events], list(range(8)))
+        self.assertEqual(b"".join(each.data for each in events), data)
+        self.assertFalse(splitter.has_rest)
+
+
+class PlacementTests(unittest.TestCase):
+    PROMPT = Prompt(AdapterName("base", "a1"), 600, 50)
+
+    def make(self, name, adapters, load=None, **others):
+        record = make_record(name, "engines")
+        others.setdefault("can_load", True)
+        return Candidate(record, load or ReplicaLoad(), adapters, {}, **others)
+
+    def choose(self, candidates, version=0):
+        return choose_engine(candidates, self.PROMPT, version, "north", lambda _: 0)
+
+    def test_prefers_a_replica_that_holds_the_adapter(self):
+        choice = self.choose([self.make("a", {}), self.make("b", {"a1": 1})])
+        self.assertEqual(choice.candidate.record.id, "b")
+        self.assertFalse(choice.must_load)
+
+    def test_spreads_an_adapter_whose_replica_is_far_behind(self):
+        busy = ReplicaLoad(unread_tokens=60_000)
+        choice = self.choose([self.make("a", {}), self.make("b", {"a1": 1}, busy)])
+        self.assertEqual(choice.candidate.record.id, "a")
+        self.assertTrue(choice.must_load)
+
+    def test_takes_no_older_version(self):
+        choice = self.choose([self.make("b", {"a1": 1})], version=2)
+        self.assertTrue(choice.must_load)
+
+    def test_loads_nothing_where_no_side_process_is_heard(self):
+        self.assertIsNone(self.choose([self.make("a", {}, can_load=False)]))
+
+    def test_all_processes_choose_the_same_replica_for_a_rare_adapter(self):
+        candidates = [self.make(name, {}) for name in "abcdef"]
+        first = self.choose(candidates).candidate.record.id
+        self.assertEqual(self.choose(candidates[::-1]).candidate.record.id, first)
+
+    def test_spreads_plain_requests_by_load(self):
+        busy = ReplicaLoad(in_flight=4)
+        candidates = [
+            Candidate(make_record("a"), busy),
+            Candidate(make_record("b"), ReplicaLoad()),
+        ]
+        chosen = choose_plain(candidates, "north", lambda: 0.5)
+        self.assertEqual(chosen.record.id, "b")
+
+
+class VersionTests(unittest.TestCase):
+    def test_never_goes_back(self):
+        versions = AdapterVersions()
+        versions.announce("base", "a1", 3)
+        versions.announce("base", "a1", 2)
+        self.assertEqual(versions.find(AdapterName("base", "a1")), 3)
+
+
+class ReadPartTests(unittest.TestCase):
+    def test_counts_only_the_beginning(self):
+        from balsamspoke_gateway.requests import PromptPart
+
+        parts = ReadParts()
+        target = AdapterName("base", "a1")
+        first = Prompt(target, 30, 5, (PromptPart("p", 10), PromptPart("q", 20)))
+        other = Prompt(target, 30, 5, (PromptPart("x", 10), PromptPart("q", 20)))
+        parts.note(first, "a")
+        self.assertEqual(parts.count_kept(first, "a"), 30)
+        self.assertEqual(parts.count_kept(other, "a"), 0)
+        self.assertEqual(parts.count_kept(first, "b"), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/libs/gateway/tests/test_forwarding.py
@@ -0,0 +1,247 @@
+import unittest
+
+from balsamspoke_gateway.exceptions import (
+    AnswerLost,
+    NoReplica,
+    NotReady,
+    NotSent,
+    OutcomeUnknown,
+    OverLimit,
+    Overloaded,
+    TimedOut,
+    UnknownKey,
+    UnknownRoute,
+)
+from hypothesis import given
+from hypothesis import strategies as st
+
+from .world import Answer, World, make_record, seconds
+
+EVENTS = [b"id: %d\ndata: x\n\n" % number for number in range(1, 6)]
+
+
+class PlainRequestTests(unittest.TestCase):
+    def setUp(self):
+        self.world = World()
+        self.world.add(make_record("a"), make_record("b", number=2))
+
+    def script_both(self, *answers):
+        self.world.client.script("a", *answers)
+        self.world.client.script("b", *answers)
+
+    def test_passes_the_answer_on(self):
+        sink, _ = self.world.send("safe")
+        self.assertEqual((sink.status, sink.body), (200, b"body"))
+        self.assertTrue(sink.is_finished)
+
+    def test_names_the_replica_and_the_time_left(self):
+        self.world.send("safe", patience=2)
+        replica, request = self.world.client.sent[0]
+        self.assertEqual(request.replica_id, replica)
+        self.assertEqual(request.time_left, seconds(2))
+
+    def test_refuses_without_a_configuration(self):
+        self.world.context.configuration = None
+        sink, _ = self.world.send("safe")
+        self.assertIsInstance(sink.refusal, NotReady)
+
+    def test_refuses_an_unknown_route_or_key(self):
+        sink, _ = self.world.send("nowhere")
+        self.assertIsInstance(sink.refusal, UnknownRoute)
+        sink, _ = self.world.send("keyed", key="wrong")
+        self.assertIsInstance(sink.refusal, UnknownKey)
+        self.assertEqual(self.world.client.sent, [])
+
+    def test_repeats_a_lost_safe_request_at_another_replica(self):
+        self.script_both(Answer(breaks=True, pieces=()))
+        self.world.client.script("b", Answer())
+        self.world.client.script("a", Answer(error=AnswerLost("reset")))
+        sink, _ = self.world.send("safe")
+        self.assertEqual(sink.status, 200)
+        self.assertLessEqual(len(self.world.client.sent), 2)
+
+    def test_does_not_repeat_a_lost_unsafe_request(self):
+        self.script_both(Answer(error=AnswerLost("reset")))
+        sink, _ = self.world.send("unsafe")
+        self.assertEqual(len(self.world.client.sent), 1)
+        self.assertIsInstance(sink.failure, OutcomeUnknown)
+
+    def test_repeats_an_unsafe_request_that_was_not_sent_or_not_run(self):
+        for first in (Answer(error=NotSent("refused")), Answer(503, has_run=False)):
+            world = World()
+            world.add(make_record("a"), make_record("b", number=2))
+            world.client.script("a", first)
+            world.client.script("b", first)
+            world.client.answers["b" if False else "a"].append(Answer())
+            sink, _ = world.send("unsafe")
+            self.assertLessEqual(len(world.client.sent), 3)
+            self.assertIsNone(sink.failure)
+
+    def test_says_not_run_only_if_nothing_ran(self):
+        self.script_both(Answer(503, has_run=False))
+        sink, _ = self.world.send("unsafe")
+        self.assertIsInstance(sink.refusal, NoReplica)
+        self.assertIsNotNone(sink.refusal.retry_after)
+
+    def test_passes_an_unsafe_failure_on_unchanged(self):
+        self.script_both(Answer(500))
+        sink, _ = self.world.send("unsafe")
+        self.assertEqual((sink.status, sink.body), (500, b"body"))
+
+    def test_takes_no_unsigned_success(self):
+        self.script_both(Answer(is_signed=False))
+        sink, _ = self.world.send("unsafe")
+        self.assertIsInstance(sink.failure, OutcomeUnknown)
+
+    def test_ends_a_silent_unsafe_request_at_its_deadline(self):
+        self.script_both(Answer(is_silent=True))
+        sink, _ = self.world.send("unsafe", patience=1)
+        self.world.pass_time(0.99)
+        self.assertFalse(sink.is_finished)
+        self.world.pass_time(0.02)
+        self.assertIsInstance(sink.failure, TimedOut)
+
+    def test_stops_the_replica_when_the_caller_leaves(self):
+        self.script_both(Answer(is_silent=True))
+        sink, running = self.world.send("safe")
+        running.cancel()
+        self.assertTrue(self.world.client.exchanges[0].is_aborted)
+        self.assertFalse(sink.is_started)
+        self.assertEqual(self.world.observer.find_end().outcome, "CallerLeft")
+
+    def test_charges_the_team_and_gives_back_what_has_not_run(self):
+        self.script_both(*[Answer(503, has_run=False)] * 4)
+        sink, _ = self.world.send("keyed", key="key-1", token_cost=90)
+        self.assertIsInstance(sink.refusal, NoReplica)
+        self.assertEqual(self.world.context.quotas.admitted["harbour"], 0)
+
+    def test_refuses_over_the_limit_with_the_time_to_come_back(self):
+        for _ in range(2):
+            self.world.send("keyed", key="key-1", token_cost=60)
+        sink, _ = self.world.send("keyed", key="key-1", token_cost=60)
+        self.assertIsInstance(sink.refusal, OverLimit)
+        self.assertAlmostEqual(sink.refusal.retry_after.total_seconds(), 0.8)
+
+
+class StreamTests(unittest.TestCase):
+    def setUp(self):
+        self.world = World()
+        self.records = [
+            make_record("a", "engines", 1),
+            make_record("b", "engines", 2),
+        ]
+        self.world.add(*self.records)
+        for record in self.records:
+            self.world.tell_state(record, {})
+
+    def script_both(self, *answers):
+        self.world.client.script("a", *answers)
+        self.world.client.script("b", *answers)
+
+    def test_passes_whole_events_on(self):
+        data = b"".join(EVENTS)
+        self.script_both(Answer(pieces=[data[:20], data[20:]]))
+        sink, _ = self.world.send("stream")
+        self.assertEqual(sink.body, data)
+        self.assertTrue(sink.is_finished)
+
+    def test_resumes_a_broken_stream_after_its_last_whole_event(self):
+        broken = Answer(pieces=[EVENTS[0] + EVENTS[1] + b"id: 3\nda"], breaks=True)
+        rest = Answer(pieces=EVENTS[2:])
+        self.script_both(broken, rest)
+        self.world.client.answers["a"] = self.world.client.answers["b"] = [broken, rest]
+        sink, _ = self.world.send("resumable")
+        self.assertEqual(sink.body, b"".join(EVENTS))
+        self.assertTrue(sink.is_finished)
+        (first, _), (second, request) = self.world.client.sent
+        self.assertNotEqual(first, second)
+        self.assertEqual(request.last_event, 2)
+
+    def test_breaks_a_stream_that_may_not_be_resumed_visibly(self):
+        self.script_both(Answer(pieces=[EVENTS[0]], breaks=True))
+        sink, _ = self.world.send("stream")
+        self.assertTrue(sink.is_broken)
+        self.assertEqual(len(self.world.client.sent), 1)
+
+    def test_runs_no_more_often_than_the_route_allows(self):
+        broken = Answer(pieces=[EVENTS[0]], breaks=True)
+        self.script_both(broken, broken)
+        sink, _ = self.world.send("resumable")
+        self.assertTrue(sink.is_broken)
+        self.assertLessEqual(len(self.world.client.sent), 2)
+
+    def test_waits_for_an_adapter_and_asks_the_side_process_for_it(self):
+        sink, _ = self.world.send("stream", adapter="a7")
+        self.assertEqual(self.world.client.sent, [])
+        ip, demand = self.world.peers.sent[-1]
+        self.assertEqual(demand.wanted[0].adapter, "a7")
+        record = next(each for each in self.records if each.ip == ip)
+        self.world.tell_state(record, {"a7": 3})
+        self.assertEqual(self.world.client.sent[0][0], record.id)
+        self.assertEqual(self.world.client.sent[0][1].adapter_version, 3)
+        self.assertTrue(sink.is_finished)
+
+    def test_asks_for_no_older_version_than_announced(self):
+        self.world.context.versions.announce("base", "a7", 5)
+        for record in self.records:
+            self.world.tell_state(record, {"a7": 4})
+        self.world.send("stream", adapter="a7")
+        self.assertEqual(self.world.client.sent, [])
+        self.assertEqual(self.world.peers.sent[-1][1].wanted[0].version, 5)
+
+    def test_refuses_at_once_what_could_not_begin_in_time(self):
+        for record in self.records:
+            self.world.tell_state(record, {}, others_unread_tokens=1_000_000)
+        sink, _ = self.world.send("stream")
+        self.assertIsInstance(sink.refusal, Overloaded)
+        self.assertEqual(self.world.client.sent, [])
+
+    def test_ends_a_stream_at_the_deadline(self):
+        self.script_both(Answer(pieces=[EVENTS[0]], goes_silent=True))
+        sink, _ = self.world.send("stream", patience=2)
+        self.world.pass_time(2.1)
+        self.assertTrue(sink.is_broken)
+
+    @given(st.integers(0, 4), st.integers(0, 12), st.booleans())
+    def test_a_resumed_stream_is_whole_wherever_it_broke(self, events, part, breaks):
+        world = World()
+        world.add(*self.records)
+        for record in self.records:
+            world.tell_state(record, {})
+        begin = b"".join(EVENTS[:events]) + EVENTS[events][:part]
+        broken = Answer(pieces=[begin] if begin else [], breaks=True)
+        whole = b"".join(EVENTS)
+        rest = Answer(pieces=[b"".join(EVENTS[events:])])
+        script = [broken, rest]
+        world.client.answers = {"a": script, "b": script}
+        sink, _ = world.send("resumable")
+        self.assertEqual(sink.body, whole)
+        self.assertTrue(sink.is_finished)
+
+
+class RetryBudgetTests(unittest.TestCase):
+    def test_a_failing_service_gets_few_retries(self):
+        world = World()
+        world.context.processes = 5
+        world.add(make_record("a"), make_record("b", number=2))
+        world.client.answers = {}
+        world.client.send = _fail_always(world.client)
+        for _ in range(200):
+            world.send("safe")
+        arrivals = len(world.client.sent)
+        self.assertLessEqual(arrivals, 200 + 0.2 * 200 + 50 / 5)
+        self.assertGreater(arrivals, 200)
+
+
+def _fail_always(client):
+    send = type(client).send
+
+    def fail_send(record, request):
+        client.script(record.id, Answer(error=AnswerLost("reset")))
+        return send(client, record, request)
+
+    return fail_send
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -58,8 +58,15 @@
 def find_modules(names):
     """Return (library folder, module name) pairs, the named libraries' or all."""
     found = []
-    for path in sorted(ROOT.glob("libs/*/tests/**/test_*.py")):
-        library = ROOT / "libs" / path.relative_to(ROOT / "libs").parts[0]
+    paths = [
+        *ROOT.glob("libs/*/tests/**/test_*.py"),
+        *ROOT.glob("platform/tests/**/test_*.py"),
+    ]
+    for path in sorted(paths):
+        library = path.parent
+        while library.name != "tests":
+            library = library.parent
+        library = library.parent
         if not names or library.name in names:
             module = ".".join(path.relative_to(library).with_suffix("").parts)
             found.append((library, module))
