--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -12,7 +12,7 @@
 # How often the replica is asked for its state; the call is free on its own VM.
 REPORT_INTERVAL = timedelta(milliseconds=150)
 # After an order the state is asked for again at once, but not in a busy loop.
-ORDER_INTERVAL = timedelta(milliseconds=20)
+ORDER_INTERVAL = timedelta(milliseconds=4)
 # Entry processes hear the state this often though nothing has changed.
 STATE_INTERVAL = timedelta(milliseconds=200)
 
