--- a/libs/gateway/src/balsamspoke_gateway/context.py
+++ b/libs/gateway/src/balsamspoke_gateway/context.py
@@ -10,6 +10,7 @@
 from .demands import AdapterDemands
 from .fleet import Fleet
 from .observing import DependencyLost, Observer
+from .popularity import AdapterPopularity
 from .ports import PeerSender, ReplicaClient
 from .quotas import TeamQuotas
 from .retries import RetryBudget
@@ -41,6 +42,7 @@
     quotas: TeamQuotas = field(default_factory=TeamQuotas)
     versions: AdapterVersions = field(default_factory=AdapterVersions)
     read_parts: ReadParts = field(default_factory=ReadParts)
+    popularity: AdapterPopularity = field(default_factory=AdapterPopularity)
     configuration: Configuration | None = None
     processes: int = 1
     is_stopping: bool = False
--- a/libs/gateway/src/balsamspoke_gateway/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -87,6 +87,7 @@
         self.began = context.clock.monotonic()
         self.deadline = None
         self._charged = 0
+        self._popularity = 0.0
         self._last_error = None
 
     async def run(self):
@@ -126,6 +127,9 @@
         self.deadline = self.began + patience
         self.service = self.route.choose_service(self.context.draw())
         self._charge()
+        if request.prompt is not None:
+            popularity = self.context.popularity
+            self._popularity = popularity.note(request.prompt.target, self.began)
 
     def _charge(self):
         if self.team is None:
@@ -210,6 +214,7 @@
             version,
             zone,
             lambda replica: self.context.read_parts.count_kept(prompt, replica),
+            self._popularity * self.context.processes,
         )
         if choice is None:
             raise self._end_without_replica()
--- a/libs/gateway/src/balsamspoke_gateway/placement.py
+++ b/libs/gateway/src/balsamspoke_gateway/placement.py
@@ -13,6 +13,11 @@
 LOAD_COST = 0.35
 # The same for an adapter that is on its way already.
 PENDING_COST = 0.12
+# A load is paid for by the requests that follow it. Spreading an adapter that is
+# asked for less than once in this many seconds costs as much more, in seconds.
+SPREAD_COST = 0.6
+# Loads that an engine carries out at once; further ones wait.
+LOADS_AT_ONCE = 4
 # Slowing of all running requests by one more, in seconds.
 RUNNING_COST = 0.001
 # Preference for the same replica by all entry processes, in seconds a rank.
@@ -100,7 +105,7 @@
     return min(candidates, key=count_cost)
 
 
-def choose_engine(candidates, prompt, version, zone, kept_tokens):
+def choose_engine(candidates, prompt, version, zone, kept_tokens, popularity):
     """Return the Choice of the engine that begins first, or None.
 
     Answers a skewed popularity of adapters: one that is asked for seldom stays at
@@ -119,13 +124,17 @@
         Where this process is.
     kept_tokens : callable
         Returns the tokens of the prompt that a replica (by id) has read already.
+    popularity : float
+        Requests a second for the adapter, over all processes.
     """
     best = None
     adapter = prompt.target.adapter
     key = f"{prompt.target.model}/{adapter}"
     usable = [each for each in candidates if each.held is not None]
+    is_held = any(_has_adapter(each, adapter, version) for each in usable)
+    load_cost = LOAD_COST + (SPREAD_COST / (1 + popularity) if is_held else 0.0)
     for rank, each in enumerate(rank_replicas(key, usable)):
-        must_load = adapter is not None and each.held.get(adapter, -1) < version
+        must_load = adapter is not None and not _holds(each, adapter, version)
         if must_load and not each.can_load:
             continue
         tokens = max(1, prompt.tokens - kept_tokens(each.record.id))
@@ -136,7 +145,18 @@
             cost += DOMAIN_COST
         if must_load:
             is_coming = each.pending.get(adapter, -1) >= version
-            cost += PENDING_COST if is_coming else LOAD_COST
+            cost += PENDING_COST if is_coming else load_cost
+            cost += LOAD_COST * (len(each.pending) // LOADS_AT_ONCE)
         if best is None or cost < best[0]:
             best = (cost, Choice(each, timedelta(seconds=wait), must_load))
     return None if best is None else best[1]
+
+
+def _holds(candidate, adapter, version):
+    return candidate.held.get(adapter, -1) >= version
+
+
+def _has_adapter(candidate, adapter, version):
+    """Whether a replica holds an adapter or will soon."""
+    is_coming = candidate.pending.get(adapter, -1) >= version
+    return is_coming or _holds(candidate, adapter, version)
--- a/libs/gateway/tests/test_decisions.py
+++ b/libs/gateway/tests/test_decisions.py
@@ -194,8 +194,10 @@
         others.setdefault("can_load", True)
         return Candidate(record, load or ReplicaLoad(), adapters, {}, **others)
 
-    def choose(self, candidates, version=0):
-        return choose_engine(candidates, self.PROMPT, version, "north", lambda _: 0)
+    def choose(self, candidates, version=0, popularity=10.0):
+        return choose_engine(
+            candidates, self.PROMPT, version, "north", lambda _: 0, popularity
+        )
 
     def test_prefers_a_replica_that_holds_the_adapter(self):
         choice = self.choose([self.make("a", {}), self.make("b", {"a1": 1})])
@@ -208,6 +210,16 @@
         self.assertEqual(choice.candidate.record.id, "a")
         self.assertTrue(choice.must_load)
 
+    def test_keeps_a_rare_adapter_where_it_is_held(self):
+        # Load pattern: an engine is half a second behind; moving the adapters that
+        # are asked for once in a while costs more loads than it saves waits.
+        busy = ReplicaLoad(unread_tokens=18_000)
+        candidates = [self.make("a", {}), self.make("b", {"a1": 1}, busy)]
+        rare = self.choose(candidates, popularity=0.05)
+        self.assertEqual(rare.candidate.record.id, "b")
+        popular = self.choose(candidates, popularity=30.0)
+        self.assertEqual(popular.candidate.record.id, "a")
+
     def test_takes_no_older_version(self):
         choice = self.choose([self.make("b", {"a1": 1})], version=2)
         self.assertTrue(choice.must_load)
