--- a/libs/gateway/src/balsamspoke_gateway/fleet.py
+++ b/libs/gateway/src/balsamspoke_gateway/fleet.py
@@ -1,14 +1,19 @@
 """What an entry process knows of the replicas, put together for decisions."""
 
+from collections import OrderedDict
 from datetime import timedelta
 
 from .health import ReplicaHealth
 from .loads import STATE_LIFETIME, ReplicaLoad
 from .placement import Candidate
 from .replicas import ReplicaDirectory
+from .requests import AdapterName
 
 # A replica's own statement of its load, in an answer, is soon out of date.
 STATEMENT_LIFETIME = timedelta(milliseconds=300)
+# Adapters that an engine is taken to keep a copy of beside those in its places, so
+# that it loads them again fast.
+COPIED_ADAPTERS = 96
 
 
 class _HeardState:
@@ -34,6 +39,7 @@
         self.health = ReplicaHealth()
         self._loads = {}
         self._states = {}
+        self._copies = {}
 
     def find_load(self, replica_id):
         """Return the ReplicaLoad of a replica."""
@@ -50,6 +56,7 @@
                 load = self.find_load(record.id)
                 load.others_in_flight = state.others_in_flight
                 load.others_unread_tokens = state.others_unread_tokens
+                self._note_copies(record.id, state)
 
     def note_statement(self, record, statement):
         """Take a ServerLoad from a replica's answer."""
@@ -91,6 +98,8 @@
         for replica_id in set(self._loads) - listed:
             if self._loads[replica_id].in_flight == 0:
                 del self._loads[replica_id]
+        for replica_id in set(self._copies) - listed:
+            del self._copies[replica_id]
 
     def _make_candidate(self, record, model):
         load = self.find_load(record.id)
@@ -99,11 +108,23 @@
         state = self.find_state(record)
         if state is None:
             held = {each.name: each.adapters for each in record.models}
-            return Candidate(record, load, held.get(model), {}, False)
+            return Candidate(record, load, held.get(model), {}, {}, False)
         prefix = model + "/"
         pending = {
             name[len(prefix) :]: version
             for name, version in state.pending.items()
             if name.startswith(prefix)
         }
-        return Candidate(record, load, state.models.get(model), pending, True)
+        copied = self._copies.get(record.id, {})
+        return Candidate(record, load, state.models.get(model), pending, copied, True)
+
+    def _note_copies(self, replica_id, state):
+        """Remember what an engine has held, the latest last."""
+        copies = self._copies.setdefault(replica_id, OrderedDict())
+        for model, adapters in state.models.items():
+            for name, version in adapters.items():
+                key = AdapterName(model, name)
+                copies[key] = version
+                copies.move_to_end(key)
+        while len(copies) > COPIED_ADAPTERS:
+            copies.popitem(last=False)
--- a/libs/gateway/src/balsamspoke_gateway/placement.py
+++ b/libs/gateway/src/balsamspoke_gateway/placement.py
@@ -1,18 +1,21 @@
 """Where a request goes: the replica that can begin on it first."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 import xxhash
 
 from .loads import ReplicaLoad
 from .replicas import ReplicaRecord
+from .requests import AdapterName
 
 # What it costs to wait for an adapter, in seconds: somewhat above the time of a
 # load, so that a small difference in load does not spread an adapter.
 LOAD_COST = 0.35
 # The same for an adapter that is on its way already.
 PENDING_COST = 0.12
+# The same for an adapter that the replica held lately and has a copy of.
+COPIED_COST = 0.05
 # A load is paid for by the requests that follow it. Spreading an adapter that is
 # asked for less than once in this many seconds costs as much more, in seconds.
 SPREAD_COST = 0.6
@@ -44,6 +47,9 @@
         Adapter versions of the request's model; None if it lacks the model.
     pending : dict
         Adapters of the model on their way, and their versions.
+    copied : dict
+        Versions of the adapters (by AdapterName) that it loads fast, as it held them
+        lately.
     can_load : bool
         Whether its side process is heard and loads what is asked for.
     """
@@ -51,7 +57,8 @@
     record: ReplicaRecord
     load: ReplicaLoad
     held: dict[str, int] | None = None
-    pending: dict[str, int] | None = None
+    pending: dict[str, int] = field(default_factory=dict)
+    copied: dict[AdapterName, int] = field(default_factory=dict)
     can_load: bool = False
 
 
@@ -144,14 +151,22 @@
         if each.record.zone != zone:
             cost += DOMAIN_COST
         if must_load:
-            is_coming = each.pending.get(adapter, -1) >= version
-            cost += PENDING_COST if is_coming else load_cost
-            cost += LOAD_COST * (len(each.pending) // LOADS_AT_ONCE)
+            cost += _count_load_cost(each, prompt.target, version, load_cost)
         if best is None or cost < best[0]:
             best = (cost, Choice(each, timedelta(seconds=wait), must_load))
     return None if best is None else best[1]
 
 
+def _count_load_cost(candidate, target, version, load_cost):
+    """Return the seconds that loading an adapter at a replica costs."""
+    if candidate.pending.get(target.adapter, -1) >= version:
+        return PENDING_COST
+    queued = LOAD_COST * (len(candidate.pending) // LOADS_AT_ONCE)
+    if candidate.copied.get(target, -1) >= version:
+        return COPIED_COST + queued
+    return load_cost + queued
+
+
 def _holds(candidate, adapter, version):
     return candidate.held.get(adapter, -1) >= version
 
--- a/libs/gateway/tests/test_decisions.py
+++ b/libs/gateway/tests/test_decisions.py
@@ -192,7 +192,7 @@
     def make(self, name, adapters, load=None, **others):
         record = make_record(name, "engines")
         others.setdefault("can_load", True)
-        return Candidate(record, load or ReplicaLoad(), adapters, {}, **others)
+        return Candidate(record, load or ReplicaLoad(), adapters, **others)
 
     def choose(self, candidates, version=0, popularity=10.0):
         return choose_engine(
@@ -220,6 +220,22 @@
         popular = self.choose(candidates, popularity=30.0)
         self.assertEqual(popular.candidate.record.id, "a")
 
+    def test_returns_an_adapter_to_the_replica_that_held_it(self):
+        # Load pattern: more adapters in use than places; each goes and comes back
+        # within seconds, and is loaded fast only where it was.
+        target = self.PROMPT.target
+        for name in "abc":
+            copied = {target: 1}
+            others = [self.make(each, {}) for each in "abc" if each != name]
+            candidates = [*others, self.make(name, {}, copied=copied)]
+            choice = self.choose(candidates)
+            self.assertEqual(choice.candidate.record.id, name)
+        newer = self.choose(candidates, version=2)
+        self.assertEqual(
+            newer.candidate.record.id,
+            self.choose(others + [self.make("c", {})]).candidate.record.id,
+        )
+
     def test_takes_no_older_version(self):
         choice = self.choose([self.make("b", {"a1": 1})], version=2)
         self.assertTrue(choice.must_load)
