--- a/libs/gateway/src/balsamspoke_gateway/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/attempt.py
@@ -112,6 +112,8 @@
         if answer.load is not None:
             self._context.fleet.note_statement(self._record, answer.load)
         if not answer.has_run:
+            if answer.is_misdirected:
+                self._context.fleet.note_misdirected(self._record)
             await self._read_body()
             raise NotRun(f"the replica answered {answer.status} without running")
         if answer.is_success and not answer.is_signed:
--- a/libs/gateway/src/balsamspoke_gateway/fleet.py
+++ b/libs/gateway/src/balsamspoke_gateway/fleet.py
@@ -40,6 +40,7 @@
         self._loads = {}
         self._states = {}
         self._copies = {}
+        self._outdated = {}
 
     def find_load(self, replica_id):
         """Return the ReplicaLoad of a replica."""
@@ -64,6 +65,19 @@
         others = statement.running + statement.waiting - load.in_flight
         load.others_in_flight = max(0, others)
 
+    def note_misdirected(self, record):
+        """Take note that a replica does not hold what its entry says.
+
+        Answers replicas that have restarted empty while neither their side process
+        nor the store could tell: without this, each request would try each of them.
+        """
+        self._outdated[record.id] = record
+
+    def is_loading(self, service):
+        """Whether replicas of a service are heard to be empty, so will load soon."""
+        states = map(self.find_state, self.directory.list_service(service))
+        return any(state is not None and not state.models for state in states)
+
     def find_state(self, record):
         """Return the fresh ReplicaState of a replica, or None."""
         heard = self._states.get(record.ip)
@@ -100,12 +114,16 @@
                 del self._loads[replica_id]
         for replica_id in set(self._copies) - listed:
             del self._copies[replica_id]
+        for replica_id in set(self._outdated) - listed:
+            del self._outdated[replica_id]
 
     def _make_candidate(self, record, model):
         load = self.find_load(record.id)
         if model is None:
             return Candidate(record, load)
         state = self.find_state(record)
+        if state is None and self._outdated.get(record.id) is record:
+            return Candidate(record, load)
         if state is None:
             held = {each.name: each.adapters for each in record.models}
             return Candidate(record, load, held.get(model), {}, {}, False)
--- a/libs/gateway/src/balsamspoke_gateway/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -27,6 +27,9 @@
 
 # A caller that is refused for want of capacity comes back after about this long.
 BUSY_RETRY_AFTER = timedelta(milliseconds=300)
+# A base model is loaded from a replica's own disk in about this time; callers that
+# are refused meanwhile come back after once to twice as long.
+MODEL_RETRY_AFTER = timedelta(milliseconds=800)
 # Replicas asked in vain before a request is refused, whatever the budget allows.
 MOST_TRIES = 4
 # How long a request waits for an adapter before it looks for another replica.
@@ -226,6 +229,10 @@
     def _end_without_replica(self):
         if self.progress.runs:
             return OutcomeUnknown("no other replica can take the request")
+        if self.context.fleet.is_loading(self.service):
+            # Callers that come back one after the other don't meet in a queue.
+            delay = MODEL_RETRY_AFTER * (1 + self.context.draw())
+            return NoReplica(f"{self.service} is loading its model", delay)
         return NoReplica(f"no replica of {self.service}", BUSY_RETRY_AFTER)
 
     def _check_wait(self, choice):
--- a/libs/gateway/src/balsamspoke_gateway/requests.py
+++ b/libs/gateway/src/balsamspoke_gateway/requests.py
@@ -137,6 +137,8 @@
         To pass back, without those of one connection only.
     has_run : bool
         False if the replica states that it did not run the request.
+    is_misdirected : bool
+        Whether the replica is not, or does not hold, what the request expects.
     is_signed : bool
         Whether it bears a replica's signature.
     length : int or None
@@ -148,6 +150,7 @@
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
     has_run: bool
+    is_misdirected: bool
     is_signed: bool
     length: int | None = None
     load: ServerLoad | None = None
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -61,7 +61,12 @@
         if not isinstance(message, EntryDemand):
             return
         self._plan.note_demand(ip, message, self._clock.monotonic())
-        if message.wanted and self._urgent is not None:
+        if message.wanted:
+            self.hurry()
+
+    def hurry(self):
+        """Go on at once: there is something to do, or the engine's limits are known."""
+        if self._urgent is not None:
             urgent, self._urgent = self._urgent, None
             urgent.cancel()
 
--- a/libs/gateway/tests/test_forwarding.py
+++ b/libs/gateway/tests/test_forwarding.py
@@ -12,6 +12,8 @@
     UnknownKey,
     UnknownRoute,
 )
+from balsamspoke_gateway.messages import ReplicaState
+from balsamspoke_gateway.replicas import HeldModel
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -196,6 +198,29 @@
         self.assertIsInstance(sink.refusal, Overloaded)
         self.assertEqual(self.world.client.sent, [])
 
+    def test_asks_replicas_that_restarted_empty_once_each(self):
+        # Load pattern: all machines lose power; entries in the store still tell of
+        # the adapters that were held before.
+        world = World()
+        held = (HeldModel("base", 1, {"a7": 1}),)
+        world.add(
+            make_record("a", "engines", 1, models=held),
+            make_record("b", "engines", 2, models=held),
+        )
+        misdirected = [Answer(421, has_run=False)] * 20
+        world.client.answers = {"a": misdirected[:], "b": misdirected[:]}
+        for _ in range(10):
+            sink, _ = world.send("stream", adapter="a7")
+            self.assertIsInstance(sink.refusal, NoReplica)
+        self.assertEqual(len(world.client.sent), 2)
+
+    def test_tells_callers_to_come_back_when_the_model_is_loaded(self):
+        for record in self.records:
+            self.world.context.fleet.note_state(record.ip, ReplicaState(record.born))
+        sink, _ = self.world.send("stream")
+        self.assertIsInstance(sink.refusal, NoReplica)
+        self.assertGreaterEqual(sink.refusal.retry_after, seconds(0.8))
+
     def test_ends_a_stream_at_the_deadline(self):
         self.script_both(Answer(pieces=[EVENTS[0]], goes_silent=True))
         sink, _ = self.world.send("stream", patience=2)
--- a/libs/gateway/tests/world.py
+++ b/libs/gateway/tests/world.py
@@ -98,7 +98,13 @@
         if answer.is_silent:
             return Deferred(lambda _: self.abort())
         return succeed(
-            ReplicaAnswer(answer.status, SIGNED, answer.has_run, answer.is_signed)
+            ReplicaAnswer(
+                answer.status,
+                SIGNED,
+                answer.has_run,
+                answer.status == 421,
+                answer.is_signed,
+            )
         )
 
     def read_piece(self):
