Use the limits' tolerance while processes don't hear each other; keep a registry

The tolerance that the bounds grant for machines out of touch is now used by parts while peers are silent; a silent peer keeps its part for ten minutes, then it is taken off the registry. Test: five processes cut from each other stay below limit and tolerance.

--- a/libs/gateway/src/balsamspoke_gateway/context.py
+++ b/libs/gateway/src/balsamspoke_gateway/context.py
@@ -41,7 +41,7 @@
     fleet: Fleet
     draw: object = field(default_factory=lambda: random.Random().random)
     demands: AdapterDemands = field(default_factory=AdapterDemands)
-    quotas: TeamQuotas = field(default_factory=TeamQuotas)
+    quotas: TeamQuotas = field(init=False)
     versions: AdapterVersions = field(default_factory=AdapterVersions)
     read_parts: ReadParts = field(default_factory=ReadParts)
     popularity: AdapterPopularity = field(default_factory=AdapterPopularity)
@@ -51,6 +51,9 @@
     is_refusing: bool = False
     retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
 
+    def __post_init__(self):
+        self.quotas = TeamQuotas(self.settings.quota_tolerance)
+
     def find_retry_budget(self, service):
         """Return the RetryBudget of a service."""
         budget = self.retry_budgets.get(service)
--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+from balsamspoke_types.exceptions import StoreUnavailable
 from twisted.internet.defer import Deferred
 
 from .following import Follower, StoreReachability
@@ -9,6 +10,7 @@
 from .messages import EntryUsage, ReplicaState
 from .observing import BeliefChanged, DependencyLost, DependencyRegained
 from .quotas import PeerUsage
+from .timing import sleep
 
 # How often side processes hear of this process while nothing is urgent.
 DEMAND_INTERVAL = timedelta(milliseconds=200)
@@ -23,6 +25,9 @@
 # The same for the entry processes.
 ENTRY_PAUSE = timedelta(seconds=2)
 
+# How often the list of entry processes is looked after, and a failed write repeated.
+REGISTRY_INTERVAL = timedelta(milliseconds=600)
+
 _STORE = "store"
 
 
@@ -35,13 +40,17 @@
         State and ports.
     sources : EntrySources
         Kinds of record to follow.
+    registry : EntryRegistry
+        Where this process lists itself.
     started : int
         Differs between starts of this process.
     """
 
-    def __init__(self, context, sources, started):
+    def __init__(self, context, sources, registry, started):
         self.context = context
         self._sources = sources
+        self._registry = registry
+        self._is_registered = False
         self._started = started
         self._peers = {}
         self._open = set()
@@ -74,6 +83,7 @@
         self._follow(sources.entries, self._take_entries, ENTRY_PAUSE)
         self._tell_replicas()
         self._tell_peers()
+        self._run(self._keep_registry())
 
     def stop(self):
         """End what ``start`` began; open requests go on."""
@@ -116,10 +126,28 @@
         follower = Follower(
             source, context.clock, self._reachability, take_list, take_change, pause
         )
-        running = Deferred.fromCoroutine(follower.run())
-        running.addErrback(context.note_bug)
+        self._run(follower.run())
+
+    def _run(self, coroutine):
+        running = Deferred.fromCoroutine(coroutine)
+        running.addErrback(self.context.note_bug)
         self._running.append(running)
 
+    async def _keep_registry(self):
+        """List this process, and take off the list those that have ended for good."""
+        context = self.context
+        while True:
+            try:
+                if not self._is_registered:
+                    await self._registry.register()
+                    self._is_registered = True
+                for ip in context.quotas.list_forgotten(context.clock.monotonic()):
+                    if ip in self._peers:
+                        await self._registry.remove(self._peers[ip])
+            except StoreUnavailable as error:
+                self._reachability.note_failure(error)
+            await sleep(context.clock, REGISTRY_INTERVAL)
+
     def _note_return(self):
         self.context.fleet.directory.note_return(self.context.clock.monotonic())
         self.context.observer.observe(DependencyRegained(_STORE))
@@ -182,7 +210,8 @@
             if change.record is not None:
                 self._peers[change.record] = change.name
         context = self.context
-        self._peers.pop(context.settings.ip, None)
+        own = self._peers.pop(context.settings.ip, None)
+        self._is_registered = own is not None or not is_list
         context.processes = len(self._peers) + 1
         context.quotas.expect_peers(list(self._peers), context.clock.monotonic())
         self._believe("entry processes", str(context.processes))
--- a/libs/gateway/src/balsamspoke_gateway/ports.py
+++ b/libs/gateway/src/balsamspoke_gateway/ports.py
@@ -114,3 +114,18 @@
         awaitable of str
             What the replica answered.
         """
+
+
+class EntryRegistry(ABC):
+    """The list of entry processes in the platform's store.
+
+    All calls fail with StoreUnavailable if the store does not answer.
+    """
+
+    @abstractmethod
+    def register(self):
+        """Put this process into the list; return an awaitable."""
+
+    @abstractmethod
+    def remove(self, name):
+        """Take a process, named by its VM, off the list; return an awaitable."""
--- a/libs/gateway/src/balsamspoke_gateway/quotas.py
+++ b/libs/gateway/src/balsamspoke_gateway/quotas.py
@@ -7,13 +7,44 @@
 
 # A peer that was not heard for this long may be cut off and serve on by itself.
 PEER_SILENCE = timedelta(seconds=1)
-# A peer that was not heard for this long has ended or serves too little to matter.
-PEER_FORGOTTEN = timedelta(seconds=20)
+# A peer that was not heard for this long has ended for good: longer than a VM is cut
+# off, so that one that still serves keeps its part.
+PEER_FORGOTTEN = timedelta(minutes=10)
 # Part of the burst that a new process may spend: it does not know what it or the
 # others spent just before it started.
 FIRST_LEVEL = 0.5
 
 
+# Part of the tolerance that groups of processes may use while they don't hear each
+# other; the rest covers what is admitted before the silence is noticed.
+USED_TOLERANCE = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaTolerance:
+    """How far the sum of all processes may miss a team's limit.
+
+    Attributes
+    ----------
+    window : timedelta
+        Any span of this length counts.
+    part : float
+        Of what the limit allows in a window.
+    tokens : float
+        Beyond that in a window.
+    """
+
+    window: timedelta = timedelta(seconds=8)
+    part: float = 0.0
+    tokens: float = 0.0
+
+    def count_rate(self, team):
+        """Return the tokens a second that a Team may get too much."""
+        seconds = self.window.total_seconds()
+        allowed = team.rate * seconds + team.burst
+        return (allowed * self.part + self.tokens) / seconds
+
+
 @dataclass(frozen=True, slots=True)
 class PeerUsage:
     """What another entry process has admitted since it started, by team."""
@@ -37,11 +68,17 @@
     it at once, and those of its peers when it hears of them. Between hearing and
     taking, all processes together may admit the traffic of one message's interval
     too much, which the limits' tolerance covers. A process that does not hear some
-    of its peers refills only its group's part, so that two groups that are cut from
-    each other stay below the limit together.
+    of its peers uses only its group's part of limit and tolerance, so that groups
+    that are cut from each other stay within both together.
+
+    Parameters
+    ----------
+    tolerance : QuotaTolerance
+        For processes that do not hear each other.
     """
 
-    def __init__(self):
+    def __init__(self, tolerance=QuotaTolerance()):
+        self._tolerance = tolerance
         self._buckets = {}
         self._admitted = {}
         self._peers = {}
@@ -62,8 +99,10 @@
         """
         if team.rate <= 0:
             return
-        rate = team.rate * self._find_part(now)
-        bucket = self._refill(team, rate, now)
+        part = self._find_part(now)
+        tolerated = USED_TOLERANCE * self._tolerance.count_rate(team)
+        rate = min(team.rate, part * (team.rate + tolerated))
+        bucket = self._refill(team, rate, part * team.burst, now)
         if bucket.level <= 0:
             reason = (
                 f"team {team.name} is over its limit: {bucket.level:.0f} tokens left, "
@@ -103,18 +142,24 @@
             del self._heard[peer]
             self._peers.pop(peer, None)
 
+    def list_forgotten(self, now):
+        """Return the names of registered peers that have ended for good."""
+        return [
+            peer for peer, heard in self._heard.items() if now - heard > PEER_FORGOTTEN
+        ]
+
     def _find_part(self, now):
         """Return the part of the rate that is this group's."""
         silences = [now - heard for heard in self._heard.values()]
         silent = sum(PEER_SILENCE < each < PEER_FORGOTTEN for each in silences)
         return 1 - silent / (len(silences) + 1)
 
-    def _refill(self, team, rate, now):
+    def _refill(self, team, rate, burst, now):
         bucket = self._buckets.get(team.name)
         if bucket is None:
             bucket = _Bucket(team.burst * FIRST_LEVEL, now)
             self._buckets[team.name] = bucket
         gained = rate * (now - bucket.updated).total_seconds()
-        bucket.level = min(team.burst, bucket.level + gained)
+        bucket.level = min(burst, bucket.level + gained)
         bucket.updated = now
         return bucket
--- a/libs/gateway/src/balsamspoke_gateway/settings.py
+++ b/libs/gateway/src/balsamspoke_gateway/settings.py
@@ -1,8 +1,10 @@
 """Settings of the gateway's decisions, as the deployment bounds them."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
+from .quotas import QuotaTolerance
+
 
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
@@ -25,6 +27,8 @@
         How soon requests no longer begin on an adapter's older version.
     stop_grace : timedelta
         From the request to stop to the kill.
+    quota_tolerance : QuotaTolerance
+        How far the fleet may miss a team's limit.
     """
 
     vm: str
@@ -36,3 +40,4 @@
     drain_time: timedelta = timedelta(seconds=2)
     version_time: timedelta = timedelta(seconds=5)
     stop_grace: timedelta = timedelta(seconds=8)
+    quota_tolerance: QuotaTolerance = field(default_factory=QuotaTolerance)
--- a/libs/gateway/tests/test_decisions.py
+++ b/libs/gateway/tests/test_decisions.py
@@ -7,7 +7,7 @@
 from balsamspoke_gateway.health import FIRST_PAUSE, ReplicaHealth
 from balsamspoke_gateway.loads import ReplicaLoad
 from balsamspoke_gateway.placement import Candidate, choose_engine, choose_plain
-from balsamspoke_gateway.quotas import PeerUsage, TeamQuotas
+from balsamspoke_gateway.quotas import PeerUsage, QuotaTolerance, TeamQuotas
 from balsamspoke_gateway.replicas import RETURN_GRACE, ReplicaDirectory
 from balsamspoke_gateway.requests import AdapterName, Prompt
 from balsamspoke_gateway.retries import RetryBudget
@@ -155,6 +155,28 @@
             admitted += self.admit(quotas, 10, now + seconds(step / 10))
         self.assertLessEqual(admitted, 100 * 10 / 4 + 20)
 
+    def test_groups_that_are_cut_from_each_other_use_the_tolerance_together(self):
+        tolerance = QuotaTolerance(seconds(8), 0.1, 400.0)
+        processes = [TeamQuotas(tolerance) for _ in range(5)]
+        for quotas in processes:
+            quotas.expect_peers(["p1", "p2", "p3", "p4"], seconds(0))
+        admitted = []
+        for step in range(200):
+            now = seconds(5 + step / 10)
+            for quotas in processes:
+                while tokens := self.admit(quotas, 5, now):
+                    admitted.append((now, tokens))
+        for begin in range(12):
+            window = [
+                tokens
+                for when, tokens in admitted
+                if seconds(5 + begin) <= when < seconds(13 + begin)
+            ]
+            # A request more than its level allows at each process.
+            bound = (100 * 8 + 200) * 1.1 + 400 + 5 * 5
+            self.assertLessEqual(sum(window), bound)
+        self.assertGreater(sum(tokens for _, tokens in admitted), 100 * 20)
+
     def test_takes_what_a_peer_says_off_its_own_level(self):
         quotas = TeamQuotas()
         quotas.expect_peers(["e1"], seconds(0))
