--- a/libs/transport/src/balsamspoke_transport/process.py
+++ b/libs/transport/src/balsamspoke_transport/process.py
@@ -44,6 +44,9 @@
             process.begin_refusal()
             process.close_idle()
             if process.open_requests == 0:
-                break
+                # What was written last is still on its way out of the process.
+                process.stop_listening()
+                if process.open_connections == 0:
+                    break
         await sleep(clock, STEP)
     logger.bind(event="Stopped", open_requests=process.open_requests).info("")
--- a/libs/transport/tests/test_process.py
+++ b/libs/transport/tests/test_process.py
@@ -21,6 +21,8 @@
         self._duration = duration
         self.open_requests = 0
         self.is_refusing = False
+        self.is_listening = True
+        self.open_connections = 1
         self.refused = 0
         self._send()
 
@@ -41,8 +43,15 @@
     def begin_refusal(self):
         self.is_refusing = True
 
+    def stop_listening(self):
+        self.is_listening = False
+
     def close_idle(self):
-        pass
+        if self.open_requests == 0:
+            self._clock.call_later(seconds(0.15), self._flush)
+
+    def _flush(self):
+        self.open_connections = 0
 
 
 class DrainTests(unittest.TestCase):
@@ -65,6 +74,13 @@
         self.assertGreater(process.refused, 0)
         self.assertLess(ended, seconds(4.5))
 
+    def test_waits_until_the_last_answer_is_on_its_way(self):
+        # Found in trouble-2 of Hyoga: the end of a stream was still buffered when
+        # the process ended 5 ms after it.
+        process, _ = self.drain(seconds(1))
+        self.assertEqual(process.open_connections, 0)
+        self.assertFalse(process.is_listening)
+
     def test_ends_before_the_kill_whatever_runs(self):
         _, ended = self.drain(seconds(60))
         self.assertLess(ended, seconds(8))
