Tell each decision as a typed event; serve metrics on each process

Attempts are logged with what decided them (predicted wait, backlog, age of the state, version), requests with the configuration's version, orders with what was held.

--- a/libs/gateway/src/balsamspoke_gateway/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/attempt.py
@@ -43,6 +43,13 @@
         self._sent_at = None
         self._exchange = None
         self.status = 0
+        self.version = None
+        self.state_age = None
+
+    @property
+    def backlog(self):
+        """Prompt tokens that were known to be unread at the replica."""
+        return self._backlog
 
     async def run(self):
         """Pass the answer on; fail with an AttemptError if there is none."""
@@ -64,13 +71,13 @@
         forwarding = self._forwarding
         request = forwarding.request
         self._load.in_flight += 1
-        version = None
+        self.state_age = self._context.fleet.find_state_age(self._record)
         if request.prompt is not None:
             self._unread = request.prompt.tokens
             self._load.unread_tokens += self._unread
             self._backlog = self._load.unread_tokens + self._load.others_unread_tokens
             self._context.demands.note_begin(self._record.id, request.prompt.target)
-            version = forwarding.find_version(self._record)
+            self.version = forwarding.find_version(self._record)
         self._sent_at = self._context.clock.monotonic()
         self._context.fleet.health.note_try(self._record.id, self._sent_at)
         team = forwarding.team
@@ -83,7 +90,7 @@
             forwarding.time_left(),
             None if team is None else team.name,
             priority if forwarding.is_stream else None,
-            version,
+            self.version,
             forwarding.progress.last_event,
             forwarding.route.is_idempotent,
         )
--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -8,7 +8,15 @@
 from .following import Follower, StoreReachability
 from .forwarding import Forwarding
 from .messages import EntryUsage, ReplicaState
-from .observing import BeliefChanged, DependencyLost, DependencyRegained
+from .observing import (
+    AdapterAnnounced,
+    ConfigurationAdopted,
+    DependencyLost,
+    DependencyRegained,
+    EntriesListed,
+    ReplicaChanged,
+    ReplicasListed,
+)
 from .quotas import PeerUsage
 from .timing import sleep
 
@@ -74,6 +82,34 @@
         """How many requests have no final answer yet."""
         return len(self._open)
 
+    @property
+    def configuration_version(self):
+        """Version in force; None if none is known."""
+        configuration = self.context.configuration
+        return None if configuration is None else configuration.version
+
+    @property
+    def store_silence(self):
+        """Seconds since the store has last answered; None if it never has."""
+        last = self._reachability.last_answer
+        if last is None:
+            return None
+        return (self.context.clock.monotonic() - last).total_seconds()
+
+    def count_replicas(self):
+        """Return how many replicas are known."""
+        return len(self.context.fleet.directory.list_all())
+
+    def count_unheard_replicas(self):
+        """Return how many engines have a side process that is not heard."""
+        fleet = self.context.fleet
+        engines = filter(self._has_engine, fleet.directory.list_all())
+        return sum(fleet.find_state(each) is None for each in engines)
+
+    def count_silent_peers(self):
+        """Return how many entry processes are not heard."""
+        return self.context.quotas.count_silent(self.context.clock.monotonic())
+
     def start(self):
         """Follow the store and talk to the peers; returns at once."""
         sources = self._sources
@@ -164,7 +200,7 @@
                 continue
             if current is None or found.version > current.version:
                 context.configuration = found
-                self._believe("configuration", str(found.version))
+                context.observer.observe(ConfigurationAdopted(found.version))
 
     def _take_replicas(self, page, is_list):
         directory = self.context.fleet.directory
@@ -172,23 +208,27 @@
         if is_list:
             records = [each.record for each in page.changes if each.record is not None]
             directory.replace_all(records, now)
-            self._believe("replicas", f"{len(records)} listed")
+            listed = ReplicasListed(len(records), page.revision)
+            self.context.observer.observe(listed)
             return
         for change in page.changes:
-            self._note_leaving(change)
+            self._note_change(change)
             if change.record is None:
                 directory.remove(change.name, now)
             else:
                 directory.put(change.record)
 
-    def _note_leaving(self, change):
+    def _note_change(self, change):
         known = self.context.fleet.directory.find(change.name)
         if change.record is None:
-            self._believe(f"replica {change.name}", "gone")
+            self._tell_change(change.name, "gone", "its entry was removed")
         elif known is None:
-            self._believe(f"replica {change.name}", "new")
+            self._tell_change(change.name, "new", "its entry was written")
         elif change.record.is_leaving and not known.is_leaving:
-            self._believe(f"replica {change.name}", "leaving")
+            self._tell_change(change.name, "leaving", "its entry says so")
+
+    def _tell_change(self, replica, change, reason):
+        self.context.observer.observe(ReplicaChanged(replica, change, reason))
 
     def _take_versions(self, page, is_list):
         for change in page.changes:
@@ -198,7 +238,11 @@
                     announced.model, announced.adapter, announced.version
                 )
                 if not is_list:
-                    self._believe(f"adapter {change.name}", f"{announced.version}")
+                    self.context.observer.observe(
+                        AdapterAnnounced(
+                            announced.model, announced.adapter, announced.version
+                        )
+                    )
 
     def _take_entries(self, page, is_list):
         if is_list:
@@ -214,16 +258,13 @@
         self._is_registered = own is not None or not is_list
         context.processes = len(self._peers) + 1
         context.quotas.expect_peers(list(self._peers), context.clock.monotonic())
-        self._believe("entry processes", str(context.processes))
-
-    def _believe(self, subject, value):
-        self.context.observer.observe(BeliefChanged(subject, value))
+        context.observer.observe(EntriesListed(context.processes))
 
     def _tell_replicas(self):
         context = self.context
         now = context.clock.monotonic()
         for replica_id in context.fleet.directory.expire(now):
-            self._believe(f"replica {replica_id}", "gone")
+            self._tell_change(replica_id, "gone", "missing since the store's return")
         context.fleet.forget_gone()
         for record in context.fleet.directory.list_all():
             if self._has_engine(record):
--- a/libs/gateway/src/balsamspoke_gateway/fleet.py
+++ b/libs/gateway/src/balsamspoke_gateway/fleet.py
@@ -87,6 +87,12 @@
             return None
         return heard.state
 
+    def find_state_age(self, record):
+        """Return the age of what is known of a replica's state, or None."""
+        if self.find_state(record) is None:
+            return None
+        return self._clock.monotonic() - self._states[record.ip].heard
+
     def list_candidates(self, service, model, excluded):
         """Return Candidates of a service; those in bad health only if no others.
 
--- a/libs/gateway/src/balsamspoke_gateway/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -21,7 +21,7 @@
     RequestRefused,
     TimedOut,
 )
-from .observing import AttemptEnded, RequestEnded
+from .observing import ANSWERED, AttemptEnded, RequestEnded
 from .placement import Choice, choose_engine, choose_plain
 from .timing import limit
 
@@ -40,8 +40,6 @@
 # request may go to another one.
 OVERDUE_OBJECTIVES = 2.0
 
-_ANSWERED = "answered"
-
 
 @dataclass(slots=True)
 class Progress:
@@ -98,7 +96,7 @@
         try:
             self._admit()
             await self._forward()
-            self._report(_ANSWERED)
+            self._report(ANSWERED)
         except RequestRefused as error:
             self._refund()
             self._refuse(error)
@@ -275,11 +273,11 @@
         attempt = Attempt(self, choice)
         clock = self.context.clock
         began = clock.monotonic()
-        outcome = _ANSWERED
+        outcome, reason = ANSWERED, ""
         try:
             await attempt.run()
         except BaseException as error:
-            outcome = type(error).__name__
+            outcome, reason = type(error).__name__, str(error)
             raise
         finally:
             ended = AttemptEnded(
@@ -287,9 +285,13 @@
                 choice.candidate.record.id,
                 self.service,
                 outcome,
+                reason,
                 attempt.status,
                 clock.monotonic() - began,
                 choice.wait,
+                attempt.backlog,
+                attempt.state_age,
+                attempt.version,
             )
             self.context.observer.observe(ended)
 
@@ -349,6 +351,7 @@
     def _report(self, outcome, reason=""):
         progress = self.progress
         first = progress.first_event_at
+        configuration = self.context.configuration
         self.context.observer.observe(
             RequestEnded(
                 self.request.id,
@@ -358,6 +361,7 @@
                 reason,
                 self.sink.status,
                 progress.tries,
+                0 if configuration is None else configuration.version,
                 self.context.clock.monotonic() - self.began,
                 None if first is None else first - self.began,
             )
--- a/libs/gateway/src/balsamspoke_gateway/quotas.py
+++ b/libs/gateway/src/balsamspoke_gateway/quotas.py
@@ -148,11 +148,14 @@
             peer for peer, heard in self._heard.items() if now - heard > PEER_FORGOTTEN
         ]
 
+    def count_silent(self, now):
+        """Return how many peers are not heard but may serve on."""
+        silences = [now - heard for heard in self._heard.values()]
+        return sum(PEER_SILENCE < each < PEER_FORGOTTEN for each in silences)
+
     def _find_part(self, now):
         """Return the part of the rate that is this group's."""
-        silences = [now - heard for heard in self._heard.values()]
-        silent = sum(PEER_SILENCE < each < PEER_FORGOTTEN for each in silences)
-        return 1 - silent / (len(silences) + 1)
+        return 1 - self.count_silent(now) / (len(self._heard) + 1)
 
     def _refill(self, team, rate, burst, now):
         bucket = self._buckets.get(team.name)
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -4,10 +4,10 @@
 
 from twisted.internet.defer import Deferred
 
-from .adapters import AdapterPlan, Order
+from .adapters import AdapterPlan
 from .exceptions import AttemptError
 from .messages import EntryDemand, ReplicaState
-from .observing import BeliefChanged, DependencyLost, DependencyRegained
+from .observing import DependencyLost, DependencyRegained, OrderGiven
 
 # How often the replica is asked for its state; the call is free on its own VM.
 REPORT_INTERVAL = timedelta(milliseconds=150)
@@ -47,11 +47,19 @@
         self._find_engine = find_engine
         self._plan = AdapterPlan()
         self._report = None
+        self._reported_at = None
         self._is_reached = True
         self._last_sent = None
         self._last_sent_at = timedelta(0)
         self._urgent = None
 
+    @property
+    def report_age(self):
+        """Seconds since the replica has last told its state; None if it never has."""
+        if self._reported_at is None:
+            return None
+        return (self._clock.monotonic() - self._reported_at).total_seconds()
+
     def start(self):
         """Begin; return the running Deferred."""
         return Deferred.fromCoroutine(self._run())
@@ -91,6 +99,7 @@
         except AttemptError as error:
             self._note_loss(error)
             return False
+        self._reported_at = self._clock.monotonic()
         self._note_return()
         self._tell_entries()
         engine = self._find_engine()
@@ -107,7 +116,19 @@
             outcome = await self._replica.give_order(order, self._report.born)
         except AttemptError as error:
             outcome = type(error).__name__
-        self._observer.observe(BeliefChanged(f"order {_name_order(order)}", outcome))
+        report = self._report
+        self._observer.observe(
+            OrderGiven(
+                order.kind.value,
+                order.model,
+                order.adapter,
+                order.version,
+                order.expected_orders,
+                sum(map(len, report.models.values())),
+                len(report.pending),
+                outcome,
+            )
+        )
         return True
 
     def _tell_entries(self):
@@ -142,8 +163,3 @@
         if not self._is_reached:
             self._is_reached = True
             self._observer.observe(DependencyRegained(_REPLICA))
-
-
-def _name_order(order: Order):
-    name = order.model if order.adapter is None else f"{order.model}/{order.adapter}"
-    return f"{order.kind.value} {name}@{order.version}"
--- a/libs/transport/src/balsamspoke_transport/logs.py
+++ b/libs/transport/src/balsamspoke_transport/logs.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from balsamspoke_gateway.observing import (
+    ANSWERED,
     AttemptEnded,
     DependencyLost,
     Observer,
@@ -20,8 +21,6 @@
 LINES_PER_SECOND = 50
 LINES_AT_ONCE = 300
 
-_ANSWERED = "answered"
-
 
 class LineWriter:
     """Write lines to a file descriptor and never wait for its reader.
@@ -86,24 +85,31 @@
     ----------
     clock : Clock
         Bounds the lines of a second.
+
+    Attributes
+    ----------
+    left_out : int
+        Lines on requests that were left out since the start.
     """
 
     def __init__(self, clock):
         self._clock = clock
+        self.left_out = 0
         self._allowance = float(LINES_AT_ONCE)
         self._updated = clock.monotonic()
         self._left_out = 0
 
     def observe(self, event):
         """Log an event, unless it is the usual end of a request."""
-        if isinstance(event, AttemptEnded) and event.outcome == _ANSWERED:
+        if isinstance(event, AttemptEnded) and event.outcome == ANSWERED:
             return
-        if isinstance(event, RequestEnded) and event.outcome == _ANSWERED:
+        if isinstance(event, RequestEnded) and event.outcome == ANSWERED:
             if event.attempts <= 1:
                 return
         is_request = isinstance(event, (AttemptEnded, RequestEnded))
         if is_request and not self._allow():
             self._left_out += 1
+            self.left_out += 1
             return
         self._write(event)
 
--- /dev/null
+++ b/libs/transport/src/balsamspoke_transport/metrics.py
@@ -0,0 +1,111 @@
+"""Counters, histograms and gauges by OpenTelemetry, in the Prometheus format."""
+
+from balsamspoke_gateway.observing import (
+    AttemptEnded,
+    Observer,
+    OrderGiven,
+    RequestEnded,
+)
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
+from prometheus_client import REGISTRY, generate_latest
+
+from .pages import Page
+
+SECONDS_BUCKETS = (
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 1.6, 2.5, 4.0, 6.3, 10.0, 20.0,
+)  # fmt: skip
+# Teams beyond this many share one label, so that memory stays bounded.
+MAXIMUM_TEAM_LABELS = 200
+OTHER_TEAMS = "(other)"
+NO_TEAM = "(open)"
+
+_OK = 200
+_CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+
+
+class MetricsObserver(Observer):
+    """Count and time what happens, by team, service and outcome.
+
+    Attributes
+    ----------
+    meter : Meter
+        For gauges of the process.
+    """
+
+    def __init__(self):
+        seconds = ExplicitBucketHistogramAggregation(SECONDS_BUCKETS)
+        provider = MeterProvider(
+            metric_readers=[PrometheusMetricReader()],
+            views=[View(instrument_name="*_seconds", aggregation=seconds)],
+        )
+        meter = self.meter = provider.get_meter("balsamspoke")
+        self._durations = meter.create_histogram(
+            "balsamspoke_request_seconds", description="Request to its final answer."
+        )
+        self._first_events = meter.create_histogram(
+            "balsamspoke_first_event_seconds",
+            description="Request to the first event of its stream.",
+        )
+        self._attempts = meter.create_counter(
+            "balsamspoke_attempts", description="Attempts at replicas by outcome."
+        )
+        self._orders = meter.create_counter(
+            "balsamspoke_orders", description="Orders to the replica by outcome."
+        )
+        self._events = meter.create_counter(
+            "balsamspoke_events", description="Changes of what is believed."
+        )
+        self._teams = set()
+        self._handlers = {
+            RequestEnded: self._note_request,
+            AttemptEnded: self._note_attempt,
+            OrderGiven: self._note_order,
+        }
+
+    def add_gauge(self, name, description, read):
+        """Add a gauge whose value a callable returns; None leaves it out."""
+
+        def observe(_):
+            value = read()
+            return [] if value is None else [Observation(value)]
+
+        self.meter.create_observable_gauge(name, [observe], description=description)
+
+    def observe(self, event):
+        """Take an event."""
+        handle = self._handlers.get(type(event))
+        if handle is not None:
+            handle(event)
+        else:
+            self._events.add(1, {"event": type(event).__name__})
+
+    def _note_request(self, event):
+        team = self._label(event.team)
+        labels = {"team": team, "outcome": event.outcome}
+        self._durations.record(event.duration.total_seconds(), labels)
+        if event.first_event is not None:
+            seconds = event.first_event.total_seconds()
+            self._first_events.record(seconds, {"team": team})
+
+    def _note_attempt(self, event):
+        labels = {"service": event.service, "outcome": event.outcome}
+        self._attempts.add(1, labels)
+
+    def _note_order(self, event):
+        self._orders.add(1, {"kind": event.kind, "outcome": event.outcome})
+
+    def _label(self, team):
+        if not team:
+            return NO_TEAM
+        if team not in self._teams and len(self._teams) >= MAXIMUM_TEAM_LABELS:
+            return OTHER_TEAMS
+        self._teams.add(team)
+        return team
+
+
+def make_metrics_page():
+    """Return the Page of all metrics."""
+    return Page(_OK, _CONTENT_TYPE, generate_latest(REGISTRY))
