--- a/libs/transport/src/balsamspoke_transport/connections.py
+++ b/libs/transport/src/balsamspoke_transport/connections.py
@@ -201,9 +201,9 @@
 
     def connectionLost(self, reason):
         """End what was under way; a clean end may complete the answer."""
+        self.is_lost = True
         if self._exchange is not None and reason.check(ConnectionDone):
             self._feed(b"")
-        self.is_lost = True
         if self._exchange is not None:
             exchange, self._exchange = self._exchange, None
             exchange.take_failure(ReplyBroken(f"connection lost: {reason.value}"))
@@ -290,7 +290,8 @@
     def _may_be_kept(self):
         is_done = self._parser.their_state is h11.DONE
         has_more = bool(self._parser.trailing_data[0])
-        return is_done and not has_more and self._parser.our_state is h11.DONE
+        is_sent = self._parser.our_state is h11.DONE
+        return is_sent and is_done and not has_more and not self.is_lost
 
     def _skip_foreign(self):
         rest = self._parser.trailing_data[0]
--- a/libs/transport/src/balsamspoke_transport/logs.py
+++ b/libs/transport/src/balsamspoke_transport/logs.py
@@ -37,7 +37,7 @@
     """
 
     def __init__(self, descriptor):
-        self._descriptor = descriptor
+        self.descriptor = descriptor
         self._rest = b""
         self.dropped = 0
         os.set_blocking(descriptor, False)
@@ -59,7 +59,7 @@
 
     def _write(self, data):
         try:
-            return data[os.write(self._descriptor, data) :]
+            return data[os.write(self.descriptor, data) :]
         except BlockingIOError:
             return data
         except OSError:
--- /dev/null
+++ b/libs/transport/tests/test_logs.py
@@ -0,0 +1,90 @@
+import dataclasses
+import os
+import time
+import unittest
+from datetime import timedelta
+from pathlib import Path
+
+import orjson
+from balsamspoke_fakes import VirtualClock, VirtualTime
+from balsamspoke_gateway import observing
+from balsamspoke_gateway.observing import RequestEnded
+from balsamspoke_transport.logs import (
+    LINES_AT_ONCE,
+    LineWriter,
+    LogObserver,
+    set_up_logs,
+)
+
+PAGE = Path(__file__).parents[3] / "docs/reference/gateway-logs.md"
+
+
+def make_end(number, outcome="NoReplica", attempts=0):
+    return RequestEnded(
+        f"id-{number}", "r", "t", outcome, "", 503, attempts, 7, timedelta(seconds=1)
+    )
+
+
+class LogTests(unittest.TestCase):
+    def setUp(self):
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        os.set_blocking(reader, False)
+        self.reader = reader
+        self.writer = set_up_logs("vm-1", writer)
+        self.time = VirtualTime()
+        self.observer = LogObserver(VirtualClock(self.time))
+
+    def read_lines(self):
+        try:
+            data = os.read(self.reader, 1_000_000)
+        except BlockingIOError:
+            return []
+        return [orjson.loads(line) for line in data.splitlines()]
+
+    def test_a_refused_request_is_found_by_its_id(self):
+        self.observer.observe(make_end(1))
+        (line,) = self.read_lines()
+        self.assertEqual(
+            (line["vm"], line["event"], line["request"]),
+            ("vm-1", "RequestEnded", "id-1"),
+        )
+        self.assertEqual(line["configuration"], 7)
+
+    def test_an_ordinary_answer_writes_nothing(self):
+        self.observer.observe(make_end(1, "answered"))
+        self.assertEqual(self.read_lines(), [])
+
+    def test_a_flood_is_bounded_and_counted(self):
+        for number in range(LINES_AT_ONCE * 3):
+            self.observer.observe(make_end(number))
+        self.assertLessEqual(len(self.read_lines()), LINES_AT_ONCE + 1)
+        self.time.advance(timedelta(seconds=1))
+        self.observer.observe(make_end(0))
+        self.assertEqual(self.read_lines()[0]["left_out"], LINES_AT_ONCE * 2)
+
+    def test_a_reader_that_stops_reading_does_not_hold_the_writer(self):
+        begin = time.monotonic()
+        writer = LineWriter(os.dup(self.writer_descriptor()))
+        for _ in range(20_000):
+            writer("x" * 100 + "\n")
+        self.assertLess(time.monotonic() - begin, 10)
+        self.assertGreater(writer.dropped, 0)
+        data = os.read(self.reader, 10_000_000)
+        self.assertEqual({len(line) for line in data.splitlines()[:-1]}, {100})
+
+    def writer_descriptor(self):
+        return self.writer.descriptor
+
+    def test_the_reference_page_names_every_event_and_field(self):
+        page = PAGE.read_text()
+        for name, kind in vars(observing).items():
+            if dataclasses.is_dataclass(kind):
+                self.assertIn(f"`{name}`", page)
+                for field in dataclasses.fields(kind):
+                    self.assertIn(f"`{field.name}`", page, f"{name}.{field.name}")
+
+
+if __name__ == "__main__":
+    unittest.main()
