--- a/libs/ctl/src/balsamspoke_ctl/parser.py
+++ b/libs/ctl/src/balsamspoke_ctl/parser.py
@@ -6,7 +6,7 @@
 
 from balsamspoke_types.objects import CATALOGUE_KINDS
 
-from . import fleet_commands, key_commands, object_commands
+from . import fleet_commands, key_commands, log_commands, object_commands
 from .exit_codes import format_exit_codes
 
 OBJECT_API_VARIABLE = "BALSAMSPOKE_OBJECT_API"
@@ -14,6 +14,7 @@
 STATUS_PORT_VARIABLE = "BALSAMSPOKE_STATUS_PORT"
 DEFAULT_STATUS_PORT = "7401"
 DEFAULT_TIMEOUT = timedelta(seconds=30)
+DEFAULT_BELIEFS = 5
 
 _KINDS = [kind.value for kind in CATALOGUE_KINDS]
 _EXAMPLES = """\
@@ -23,6 +24,7 @@
   balsamspokectl key issue prefeitura           issue a key; it is shown once
   balsamspokectl status --adapter tides         where an adapter is loaded
   balsamspokectl explain REQUEST-ID             what was decided, and why
+  balsamspokectl trace REQUEST-ID entry.log     each attempt, from collected logs
 """
 
 
@@ -122,6 +124,15 @@
     wait.add_argument("--revision", type=int, help="the newest one if left out")
     explain = _add(commands, "explain", fleet_commands.explain, needs=("vm_list",))
     explain.add_argument("request", metavar="REQUEST-ID")
+    trace = _add(commands, "trace", log_commands.trace, needs=())
+    trace.add_argument("request", metavar="REQUEST-ID")
+    trace.add_argument("files", nargs="*", type=Path, metavar="FILE")
+    trace.add_argument(
+        "--beliefs",
+        type=int,
+        default=DEFAULT_BELIEFS,
+        help="how many of the last lines on what was believed before to show",
+    )
 
 
 def _add(commands, name, run, needs=("object_api",)):
