--- a/libs/transport/src/balsamspoke_transport/logs.py
+++ b/libs/transport/src/balsamspoke_transport/logs.py
@@ -104,7 +104,7 @@
         if isinstance(event, AttemptEnded) and event.outcome == ANSWERED:
             return
         if isinstance(event, RequestEnded) and event.outcome == ANSWERED:
-            if event.attempts <= 1:
+            if event.attempts == 0:
                 return
         is_request = isinstance(event, (AttemptEnded, RequestEnded))
         if is_request and not self._allow():
--- a/libs/transport/src/balsamspoke_transport/process.py
+++ b/libs/transport/src/balsamspoke_transport/process.py
@@ -15,6 +15,20 @@
 KILL_MARGIN = timedelta(milliseconds=500)
 
 
+class StopHandler:
+    """A signal handler that stops a reactor at its first call only."""
+
+    def __init__(self, reactor):
+        self._reactor = reactor
+        self._is_called = False
+
+    def __call__(self, *_):
+        """Stop the reactor."""
+        if not self._is_called:
+            self._is_called = True
+            self._reactor.callFromThread(self._reactor.stop)
+
+
 def run_reactor(reactor, clock, process):
     """Run a process until it is told to stop and has finished its requests."""
 
@@ -23,6 +37,9 @@
 
     reactor.addSystemEventTrigger("before", "shutdown", stop)
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(process.reload))
+    # Once it runs, the reactor has installed its own handler, which fails if a
+    # second signal comes while the first one's stop is under way.
+    reactor.callWhenRunning(signal.signal, signal.SIGTERM, StopHandler(reactor))
     logger.bind(event="Started").info("")
     reactor.run()
     logger.bind(event="Ended").info("")
--- a/libs/transport/tests/test_logs.py
+++ b/libs/transport/tests/test_logs.py
@@ -56,6 +56,10 @@
         self.observer.observe(make_end(1, "answered"))
         self.assertEqual(self.read_lines(), [])
 
+    def test_an_answer_after_a_retry_is_found_by_its_id(self):
+        self.observer.observe(make_end(1, "answered", attempts=1))
+        self.assertEqual(len(self.read_lines()), 1)
+
     def test_a_flood_is_bounded_and_counted(self):
         for number in range(LINES_AT_ONCE * 3):
             self.observer.observe(make_end(number))
--- a/libs/transport/tests/test_process.py
+++ b/libs/transport/tests/test_process.py
@@ -1,8 +1,9 @@
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 from balsamspoke_fakes import VirtualClock, VirtualTime
-from balsamspoke_transport.process import drain
+from balsamspoke_transport.process import StopHandler, drain
 from twisted.internet.defer import Deferred
 
 
@@ -54,6 +55,16 @@
         self.open_connections = 0
 
 
+class StopHandlerTests(unittest.TestCase):
+    def test_stops_once_however_often_it_is_told(self):
+        # Found by the soak (seed 3): a second SIGTERM wrote a traceback.
+        reactor = mock.Mock()
+        handler = StopHandler(reactor)
+        handler(15, None)
+        handler(15, None)
+        reactor.callFromThread.assert_called_once_with(reactor.stop)
+
+
 class DrainTests(unittest.TestCase):
     def drain(self, duration, time_limit=9):
         time = VirtualTime()
