--- a/libs/gateway/src/balsamspoke_gateway/adapters.py
+++ b/libs/gateway/src/balsamspoke_gateway/adapters.py
@@ -105,6 +105,10 @@
             # Its first request follows at once; until that is told, it is in use.
             self._last_used[wanted.adapter] = now
 
+    def knows(self, entry):
+        """Whether an entry process has been heard lately."""
+        return entry in self._demands
+
     def list_demands(self, now):
         """Return the EntryDemands that still count, by entry process."""
         for entry, known in list(self._demands.items()):
--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -201,6 +201,7 @@
             if current is None or found.version > current.version:
                 context.configuration = found
                 context.observer.observe(ConfigurationAdopted(found.version))
+                self._greet_replicas()
 
     def _take_replicas(self, page, is_list):
         directory = self.context.fleet.directory
@@ -210,6 +211,7 @@
             directory.replace_all(records, now)
             listed = ReplicasListed(len(records), page.revision)
             self.context.observer.observe(listed)
+            self._greet_replicas()
             return
         for change in page.changes:
             self._note_change(change)
@@ -266,11 +268,15 @@
         for replica_id in context.fleet.directory.expire(now):
             self._tell_change(replica_id, "gone", "missing since the store's return")
         context.fleet.forget_gone()
-        for record in context.fleet.directory.list_all():
-            if self._has_engine(record):
-                context.tell_replica(record)
+        self._greet_replicas()
         context.clock.call_later(DEMAND_INTERVAL, self._tell_replicas)
 
+    def _greet_replicas(self):
+        """Tell all side processes what is needed; a new one answers at once."""
+        for record in self.context.fleet.directory.list_all():
+            if self._has_engine(record):
+                self.context.tell_replica(record)
+
     def _has_engine(self, record):
         configuration = self.context.configuration
         if configuration is None:
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -68,8 +68,9 @@
         """Take a message of an entry process."""
         if not isinstance(message, EntryDemand):
             return
+        is_new = not self._plan.knows(ip)
         self._plan.note_demand(ip, message, self._clock.monotonic())
-        if message.wanted:
+        if message.wanted or is_new:
             self.hurry()
 
     def hurry(self):
