--- a/libs/gateway/src/balsamspoke_gateway/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -362,6 +362,7 @@
                 self.sink.status,
                 progress.tries,
                 0 if configuration is None else configuration.version,
+                None if self.deadline is None else self.deadline - self.began,
                 self.context.clock.monotonic() - self.began,
                 None if first is None else first - self.began,
             )
--- a/libs/gateway/src/balsamspoke_gateway/observing.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing.py
@@ -65,6 +65,8 @@
         Attempts that were sent and did not answer.
     configuration : int
         Version in force; 0 if none was known.
+    allowed : timedelta or None
+        Time for the whole answer: the shorter of the caller's and the route's.
     duration, first_event : timedelta
         From the request to the end and to a stream's first event (None if none).
     """
@@ -77,6 +79,7 @@
     status: int
     attempts: int
     configuration: int
+    allowed: timedelta | None
     duration: timedelta
     first_event: timedelta | None = None
 
--- a/libs/transport/tests/test_logs.py
+++ b/libs/transport/tests/test_logs.py
@@ -21,7 +21,16 @@
 
 def make_end(number, outcome="NoReplica", attempts=0):
     return RequestEnded(
-        f"id-{number}", "r", "t", outcome, "", 503, attempts, 7, timedelta(seconds=1)
+        f"id-{number}",
+        "r",
+        "t",
+        outcome,
+        "",
+        503,
+        attempts,
+        7,
+        None,
+        timedelta(seconds=1),
     )
 
 
