Pace messages by the fleet's size, and store calls by the bounds

Messages to each partner now go every 15 ms x partners, 200 ms at least; the time they count follows.

--- a/libs/gateway/src/balsamspoke_gateway/adapters.py
+++ b/libs/gateway/src/balsamspoke_gateway/adapters.py
@@ -4,14 +4,12 @@
 from datetime import timedelta
 from enum import Enum
 
+from .pacing import choose_lifetime
+
 # Adapters that may be on their way to one replica at once.
 MOST_PENDING = 4
 # An adapter used this lately is kept while another can go.
 RECENT_USE = timedelta(milliseconds=500)
-# How long a wish counts after an entry process has last repeated it.
-WISH_LIFETIME = timedelta(milliseconds=700)
-# What an entry process said counts this long.
-DEMAND_LIFETIME = timedelta(seconds=1)
 
 
 class OrderKind(Enum):
@@ -78,7 +76,13 @@
 @dataclass(slots=True)
 class _Demand:
     demand: object
-    heard: timedelta
+    expires: timedelta
+
+
+@dataclass(slots=True)
+class _Wish:
+    first: timedelta
+    expires: timedelta
 
 
 class AdapterPlan:
@@ -96,12 +100,13 @@
 
     def note_demand(self, entry, demand, now):
         """Take an EntryDemand of an entry process, named by its VM's address."""
-        self._demands[entry] = _Demand(demand, now)
+        expires = now + choose_lifetime(timedelta(seconds=demand.interval))
+        self._demands[entry] = _Demand(demand, expires)
         for name in demand.in_use:
             self._last_used[name] = now
         for wanted in demand.wanted:
-            first = self._wishes.pop(wanted, (now, now))[0]
-            self._wishes[wanted] = (first, now)
+            wish = self._wishes.setdefault(wanted, _Wish(now, expires))
+            wish.expires = expires
             # Its first request follows at once; until that is told, it is in use.
             self._last_used[wanted.adapter] = now
 
@@ -112,7 +117,7 @@
     def list_demands(self, now):
         """Return the EntryDemands that still count, by entry process."""
         for entry, known in list(self._demands.items()):
-            if now - known.heard > DEMAND_LIFETIME:
+            if now > known.expires:
                 del self._demands[entry]
         return {entry: known.demand for entry, known in self._demands.items()}
 
@@ -156,13 +161,12 @@
         return None
 
     def _choose_wish(self, report, now):
-        for wanted, (_, heard) in sorted(
-            self._wishes.items(), key=lambda each: each[1][0]
-        ):
+        wishes = sorted(self._wishes.items(), key=lambda each: each[1].first)
+        for wanted, wish in wishes:
             held = report.models.get(wanted.model)
             coming = report.pending.get(f"{wanted.model}/{wanted.adapter}", -1)
             is_met = held is None or held.get(wanted.adapter, -1) >= wanted.version
-            if is_met or now - heard > WISH_LIFETIME:
+            if is_met or now > wish.expires:
                 del self._wishes[wanted]
             elif coming < wanted.version:
                 return wanted
--- a/libs/gateway/src/balsamspoke_gateway/context.py
+++ b/libs/gateway/src/balsamspoke_gateway/context.py
@@ -2,6 +2,7 @@
 
 import random
 from dataclasses import dataclass, field
+from datetime import timedelta
 
 from balsamspoke_types.ports import Clock
 from twisted.internet.defer import CancelledError
@@ -10,6 +11,7 @@
 from .demands import AdapterDemands
 from .fleet import Fleet
 from .observing import DependencyLost, Observer
+from .pacing import LEAST_INTERVAL
 from .popularity import AdapterPopularity
 from .ports import PeerSender, ReplicaClient
 from .quotas import TeamQuotas
@@ -29,6 +31,8 @@
         In force here; None until one is known.
     processes : int
         Entry processes that share the fleet's budgets, this one included.
+    demand_interval : timedelta
+        Between two messages to each side process.
     is_stopping, is_refusing : bool
         Whether the process is about to end, and takes no more requests.
     """
@@ -47,6 +51,7 @@
     popularity: AdapterPopularity = field(default_factory=AdapterPopularity)
     configuration: Configuration | None = None
     processes: int = 1
+    demand_interval: timedelta = LEAST_INTERVAL
     is_stopping: bool = False
     is_refusing: bool = False
     retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
@@ -68,7 +73,8 @@
     def tell_replica(self, record):
         """Tell the side process beside a replica what is needed there."""
         load = self.fleet.find_load(record.id)
-        self.peers.send(record.ip, self.demands.make_message(record.id, load))
+        message = self.demands.make_message(record.id, load, self.demand_interval)
+        self.peers.send(record.ip, message)
 
     def note_bug(self, failure):
         """Tell of an error that nothing else has handled."""
--- a/libs/gateway/src/balsamspoke_gateway/demands.py
+++ b/libs/gateway/src/balsamspoke_gateway/demands.py
@@ -62,14 +62,28 @@
         demand = self._replicas.get(replica_id)
         return demand is not None and any(demand.waiting.values())
 
-    def make_message(self, replica_id, load):
-        """Return the EntryDemand for a replica, with its ReplicaLoad's figures."""
+    def make_message(self, replica_id, load, interval):
+        """Return the EntryDemand for a replica.
+
+        Parameters
+        ----------
+        replica_id : str
+            The replica.
+        load : ReplicaLoad
+            Its figures.
+        interval : timedelta
+            Until the next message.
+        """
         demand = self._find(replica_id)
         in_use = demand.touched | set(demand.running)
         demand.touched.clear()
         wanted = tuple(each for each, waiters in demand.waiting.items() if waiters)
         return EntryDemand(
-            wanted, tuple(sorted(in_use)), load.in_flight, load.unread_tokens
+            wanted,
+            tuple(sorted(in_use)),
+            load.in_flight,
+            load.unread_tokens,
+            interval.total_seconds(),
         )
 
     def keep_only(self, replica_ids):
--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -17,17 +17,14 @@
     ReplicaChanged,
     ReplicasListed,
 )
+from .pacing import choose_interval, choose_lifetime
 from .quotas import PeerUsage
 from .timing import sleep
 
-# How often side processes hear of this process while nothing is urgent.
-DEMAND_INTERVAL = timedelta(milliseconds=200)
-# How often peers hear what was admitted here.
-USAGE_INTERVAL = timedelta(milliseconds=250)
-# Least time between two reads of replica changes: replicas write about once a
-# second each, and each read is paid for; well below the time to stop sending to a
-# replica that leaves.
-REPLICA_PAUSE = timedelta(milliseconds=500)
+# Part of the time to stop sending to a leaving replica that may pass between two
+# reads of replica changes: replicas write about once a second each, and each read is
+# paid for.
+REPLICA_PAUSE_PART = 0.4
 # The same for announced versions of adapters.
 VERSION_PAUSE = timedelta(milliseconds=500)
 # The same for the entry processes.
@@ -114,7 +111,8 @@
         """Follow the store and talk to the peers; returns at once."""
         sources = self._sources
         self._follow(sources.configurations, self._take_configurations, None)
-        self._follow(sources.replicas, self._take_replicas, REPLICA_PAUSE)
+        replica_pause = REPLICA_PAUSE_PART * self.context.settings.drain_time
+        self._follow(sources.replicas, self._take_replicas, replica_pause)
         self._follow(sources.versions, self._take_versions, VERSION_PAUSE)
         self._follow(sources.entries, self._take_entries, ENTRY_PAUSE)
         self._tell_replicas()
@@ -259,7 +257,9 @@
         own = self._peers.pop(context.settings.ip, None)
         self._is_registered = own is not None or not is_list
         context.processes = len(self._peers) + 1
-        context.quotas.expect_peers(list(self._peers), context.clock.monotonic())
+        now = context.clock.monotonic()
+        lifetime = choose_lifetime(choose_interval(len(self._peers)))
+        context.quotas.expect_peers(list(self._peers), lifetime, now)
         context.observer.observe(EntriesListed(context.processes))
 
     def _tell_replicas(self):
@@ -269,13 +269,15 @@
             self._tell_change(replica_id, "gone", "missing since the store's return")
         context.fleet.forget_gone()
         self._greet_replicas()
-        context.clock.call_later(DEMAND_INTERVAL, self._tell_replicas)
+        context.clock.call_later(context.demand_interval, self._tell_replicas)
 
     def _greet_replicas(self):
         """Tell all side processes what is needed; a new one answers at once."""
-        for record in self.context.fleet.directory.list_all():
-            if self._has_engine(record):
-                self.context.tell_replica(record)
+        context = self.context
+        engines = list(filter(self._has_engine, context.fleet.directory.list_all()))
+        context.demand_interval = choose_interval(len(engines))
+        for record in engines:
+            context.tell_replica(record)
 
     def _has_engine(self, record):
         configuration = self.context.configuration
@@ -289,4 +291,5 @@
         message = EntryUsage(self._started, dict(context.quotas.admitted))
         for ip in self._peers:
             context.peers.send(ip, message)
-        context.clock.call_later(USAGE_INTERVAL, self._tell_peers)
+        interval = choose_interval(len(self._peers))
+        context.clock.call_later(interval, self._tell_peers)
--- a/libs/gateway/src/balsamspoke_gateway/fleet.py
+++ b/libs/gateway/src/balsamspoke_gateway/fleet.py
@@ -4,7 +4,8 @@
 from datetime import timedelta
 
 from .health import ReplicaHealth
-from .loads import STATE_LIFETIME, ReplicaLoad
+from .loads import ReplicaLoad
+from .pacing import choose_lifetime
 from .placement import Candidate
 from .replicas import ReplicaDirectory
 from .requests import AdapterName
@@ -83,7 +84,8 @@
         heard = self._states.get(record.ip)
         if heard is None or heard.state.born != record.born:
             return None
-        if self._clock.monotonic() - heard.heard > STATE_LIFETIME:
+        lifetime = choose_lifetime(timedelta(seconds=heard.state.interval))
+        if self._clock.monotonic() - heard.heard > lifetime:
             return None
         return heard.state
 
--- a/libs/gateway/src/balsamspoke_gateway/loads.py
+++ b/libs/gateway/src/balsamspoke_gateway/loads.py
@@ -12,8 +12,6 @@
 MOST_SECONDS_PER_TOKEN = 1 / 2_000
 # Below this a first event's time is mostly the engine's step, not its reading.
 LEAST_TOKENS_TO_LEARN = 1_000
-# How old a replica's state may be before it says nothing of its load.
-STATE_LIFETIME = timedelta(seconds=1)
 
 
 @dataclass(slots=True)
--- a/libs/gateway/src/balsamspoke_gateway/messages.py
+++ b/libs/gateway/src/balsamspoke_gateway/messages.py
@@ -32,12 +32,15 @@
         Adapters that its requests use now or used since its last message.
     in_flight, unread_tokens : int
         Its requests at the replica, and the prompt tokens not read yet.
+    interval : float
+        Seconds until the next message.
     """
 
     wanted: tuple[WantedAdapter, ...] = ()
     in_use: tuple[str, ...] = ()
     in_flight: int = 0
     unread_tokens: int = 0
+    interval: float = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +59,8 @@
         Requests of all processes.
     others_in_flight, others_unread_tokens : int
         As the other entry processes told.
+    interval : float
+        Seconds until the next message.
     """
 
     born: int
@@ -65,6 +70,7 @@
     waiting: int = 0
     others_in_flight: int = 0
     others_unread_tokens: int = 0
+    interval: float = 0.2
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/balsamspoke_gateway/quotas.py
+++ b/libs/gateway/src/balsamspoke_gateway/quotas.py
@@ -4,9 +4,8 @@
 from datetime import timedelta
 
 from .exceptions import OverLimit
+from .pacing import LEAST_LIFETIME
 
-# A peer that was not heard for this long may be cut off and serve on by itself.
-PEER_SILENCE = timedelta(seconds=1)
 # A peer that was not heard for this long has ended for good: longer than a VM is cut
 # off, so that one that still serves keeps its part.
 PEER_FORGOTTEN = timedelta(minutes=10)
@@ -83,6 +82,7 @@
         self._admitted = {}
         self._peers = {}
         self._heard = {}
+        self._silence = LEAST_LIFETIME
 
     @property
     def admitted(self):
@@ -134,8 +134,13 @@
             if bucket is not None:
                 bucket.level -= tokens - before
 
-    def expect_peers(self, peers, now):
-        """Take the names of all peers that are registered."""
+    def expect_peers(self, peers, silence, now):
+        """Take the names of all peers that are registered.
+
+        A peer that was not heard for ``silence`` (timedelta) may be cut off and
+        serve on by itself.
+        """
+        self._silence = silence
         for peer in peers:
             self._heard.setdefault(peer, now)
         for peer in set(self._heard) - set(peers):
@@ -151,7 +156,7 @@
     def count_silent(self, now):
         """Return how many peers are not heard but may serve on."""
         silences = [now - heard for heard in self._heard.values()]
-        return sum(PEER_SILENCE < each < PEER_FORGOTTEN for each in silences)
+        return sum(self._silence < each < PEER_FORGOTTEN for each in silences)
 
     def _find_part(self, now):
         """Return the part of the rate that is this group's."""
--- a/libs/gateway/src/balsamspoke_gateway/settings.py
+++ b/libs/gateway/src/balsamspoke_gateway/settings.py
@@ -23,6 +23,8 @@
         Length of that window.
     drain_time : timedelta
         How soon a leaving replica gets no more requests.
+    configuration_time : timedelta
+        How soon an accepted configuration is in force.
     version_time : timedelta
         How soon requests no longer begin on an adapter's older version.
     stop_grace : timedelta
@@ -38,6 +40,7 @@
     retry_extra: float = 20.0
     retry_window: timedelta = timedelta(seconds=10)
     drain_time: timedelta = timedelta(seconds=2)
+    configuration_time: timedelta = timedelta(seconds=2)
     version_time: timedelta = timedelta(seconds=5)
     stop_grace: timedelta = timedelta(seconds=8)
     quota_tolerance: QuotaTolerance = field(default_factory=QuotaTolerance)
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -1,5 +1,6 @@
 """The core of a side process: it gives the orders to the replica beside it."""
 
+from dataclasses import dataclass
 from datetime import timedelta
 
 from twisted.internet.defer import Deferred
@@ -8,17 +9,24 @@
 from .exceptions import AttemptError
 from .messages import EntryDemand, ReplicaState
 from .observing import DependencyLost, DependencyRegained, OrderGiven
+from .pacing import LEAST_INTERVAL, choose_interval
 
 # How often the replica is asked for its state; the call is free on its own VM.
 REPORT_INTERVAL = timedelta(milliseconds=150)
 # After an order the state is asked for again at once, but not in a busy loop.
 ORDER_INTERVAL = timedelta(milliseconds=4)
-# Entry processes hear the state this often though nothing has changed.
-STATE_INTERVAL = timedelta(milliseconds=200)
 
 _REPLICA = "replica"
 
 
+@dataclass(frozen=True, slots=True)
+class _Sent:
+    """What was last sent to an entry process, and when."""
+
+    at: timedelta
+    shown: tuple
+
+
 class SideCore:
     """Load what the entry processes ask for, and tell them the replica's state.
 
@@ -49,8 +57,7 @@
         self._report = None
         self._reported_at = None
         self._is_reached = True
-        self._last_sent = None
-        self._last_sent_at = timedelta(0)
+        self._last_sent = {}
         self._urgent = None
 
     @property
@@ -133,17 +140,22 @@
         return True
 
     def _tell_entries(self):
+        """Tell the state to those that wait for it, and to all now and then."""
         now = self._clock.monotonic()
         demands = self._plan.list_demands(now)
+        interval = choose_interval(len(demands))
+        # Few entry processes hear a change at once, many of them a little later.
+        change_pause = interval - LEAST_INTERVAL
+        shown = (self._report.models, self._report.pending)
         in_flight = sum(each.in_flight for each in demands.values())
         unread = sum(each.unread_tokens for each in demands.values())
-        shown = (self._report.models, self._report.pending, set(demands))
-        is_new = shown != self._last_sent
-        if not is_new and now - self._last_sent_at < STATE_INTERVAL:
-            return
-        self._last_sent = shown
-        self._last_sent_at = now
         for entry, demand in demands.items():
+            last = self._last_sent.get(entry)
+            pause = interval if last and last.shown == shown else change_pause
+            is_due = last is None or now - last.at >= pause
+            if not is_due and not self._has_what_is_wanted(demand):
+                continue
+            self._last_sent[entry] = _Sent(now, shown)
             state = ReplicaState(
                 self._report.born,
                 self._report.models,
@@ -152,8 +164,19 @@
                 self._report.waiting,
                 in_flight - demand.in_flight,
                 unread - demand.unread_tokens,
+                interval.total_seconds(),
             )
             self._peers.send(entry, state)
+        for entry in set(self._last_sent) - set(demands):
+            del self._last_sent[entry]
+
+    def _has_what_is_wanted(self, demand):
+        """Whether an adapter that an entry process waited for is there."""
+        return any(
+            self._report.models.get(each.model, {}).get(each.adapter, -1)
+            >= each.version
+            for each in demand.wanted
+        )
 
     def _note_loss(self, error):
         if self._is_reached:
