--- a/libs/daemon/src/balsamspoke_daemon/metrics.py
+++ b/libs/daemon/src/balsamspoke_daemon/metrics.py
@@ -2,16 +2,12 @@
 
 from balsamspoke_node import Observer, RequestEnded, TokensGap
 from balsamspoke_replica import LoadEnded, RequestRefused, RequestStarted
+from balsamspoke_transport.team_labels import TeamLabels
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from prometheus_client import REGISTRY, generate_latest
 
-# Teams beyond this many share one label, so that memory stays bounded.
-MAXIMUM_TEAM_LABELS = 200
-OTHER_TEAMS = "(other)"
-NO_TEAM = "(open)"
-
 SECONDS_BUCKETS = (
     0.005, 0.01, 0.02, 0.03, 0.042, 0.06, 0.1, 0.15, 0.25,
     0.4, 0.63, 1.0, 1.6, 2.5, 4.0, 6.3, 10.0, 20.0, 40.0,
@@ -58,7 +54,7 @@
         self._events = meter.create_counter(
             "balsamspoke_events", description="Other events by name."
         )
-        self._team_labels = {}
+        self._labels = TeamLabels()
         self._handlers = {
             TokensGap: self._note_gap,
             RequestEnded: self._note_end,
@@ -76,22 +72,22 @@
             self._events.add(1, {"event": type(event).__name__})
 
     def _note_gap(self, event):
-        labels = {"team": self._label(event.team)}
+        labels = {"team": self._labels.find(event.team)}
         self._between_tokens.record(event.gap.total_seconds(), labels)
 
     def _note_start(self, event):
-        labels = {"team": self._label(event.team)}
+        labels = {"team": self._labels.find(event.team)}
         self._queue.record(event.waited.total_seconds(), labels)
 
     def _note_refusal(self, event):
-        labels = {"team": self._label(event.team), "cause": event.cause.value}
+        labels = {"team": self._labels.find(event.team), "cause": event.cause.value}
         self._refusals.add(1, labels)
 
     def _note_load(self, event):
         self._load.record(event.duration.total_seconds())
 
     def _note_end(self, event):
-        team = self._label(event.team)
+        team = self._labels.find(event.team)
         labels = {"team": team, "class": event.priority.value}
         self._duration.record(event.duration.total_seconds(), labels)
         if event.first_token is not None:
@@ -101,13 +97,6 @@
             cause = event.refusal.cause.value
             self._refusals.add(1, {"team": team, "cause": cause})
 
-    def _label(self, team):
-        if team not in self._team_labels:
-            if len(self._team_labels) >= MAXIMUM_TEAM_LABELS:
-                return OTHER_TEAMS
-            self._team_labels[team] = team or NO_TEAM
-        return self._team_labels[team]
-
 
 def read_metrics():
     """Return all metrics in the Prometheus text format."""
--- a/libs/gateway/src/balsamspoke_gateway/context.py
+++ b/libs/gateway/src/balsamspoke_gateway/context.py
@@ -10,7 +10,7 @@
 from .configuration import Configuration
 from .demands import AdapterDemands
 from .fleet import Fleet
-from .observing import DependencyLost, Observer
+from .observing import Observer, ProgramFailed
 from .pacing import LEAST_INTERVAL
 from .popularity import AdapterPopularity
 from .ports import PeerSender, ReplicaClient
@@ -80,4 +80,4 @@
         """Tell of an error that nothing else has handled."""
         if failure.check(CancelledError):
             return
-        self.observer.observe(DependencyLost("program", failure.getTraceback()))
+        self.observer.observe(ProgramFailed(failure.getTraceback()))
--- a/libs/gateway/src/balsamspoke_gateway/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -206,16 +206,16 @@
         candidates = fleet.list_candidates(self.service, model, self.progress.excluded)
         if not candidates:
             raise self._end_without_replica()
-        zone = self.context.settings.zone
+        failure_domain = self.context.settings.failure_domain
         if prompt is None:
-            best = choose_plain(candidates, zone, self.context.draw)
+            best = choose_plain(candidates, failure_domain, self.context.draw)
             return Choice(best, NO_DELAY)
         version = self.context.versions.find(prompt.target)
         choice = choose_engine(
             candidates,
             prompt,
             version,
-            zone,
+            failure_domain,
             lambda replica: self.context.read_parts.count_kept(prompt, replica),
             self._popularity * self.context.processes,
         )
--- a/libs/gateway/src/balsamspoke_gateway/observing.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing.py
@@ -177,6 +177,13 @@
     name: str
 
 
+@dataclass(frozen=True, slots=True)
+class ProgramFailed:
+    """An error that nothing has handled: a bug, with its traceback."""
+
+    traceback: str
+
+
 class Observer(ABC):
     """Takes what happens."""
 
--- a/libs/gateway/src/balsamspoke_gateway/placement.py
+++ b/libs/gateway/src/balsamspoke_gateway/placement.py
@@ -89,14 +89,14 @@
     )
 
 
-def choose_plain(candidates, zone, draw):
+def choose_plain(candidates, failure_domain, draw):
     """Return the Candidate of a service without models that is least loaded.
 
     Parameters
     ----------
     candidates : list of Candidate
         Not empty.
-    zone : str
+    failure_domain : str
         Where this process is.
     draw : callable
         Returns a number from 0 to below 1; breaks ties.
@@ -105,14 +105,14 @@
     def count_cost(each):
         busy = each.load.in_flight + each.load.others_in_flight
         cost = SLOT_COST * busy / max(1, each.record.slots)
-        if each.record.zone != zone:
+        if each.record.failure_domain != failure_domain:
             cost += DOMAIN_COST
         return cost, draw()
 
     return min(candidates, key=count_cost)
 
 
-def choose_engine(candidates, prompt, version, zone, kept_tokens, popularity):
+def choose_engine(candidates, prompt, version, failure_domain, kept_tokens, popularity):
     """Return the Choice of the engine that begins first, or None.
 
     Answers a skewed popularity of adapters: one that is asked for seldom stays at
@@ -127,7 +127,7 @@
         What the request asks.
     version : int
         Oldest version of the adapter that will do.
-    zone : str
+    failure_domain : str
         Where this process is.
     kept_tokens : callable
         Returns the tokens of the prompt that a replica (by id) has read already.
@@ -148,7 +148,7 @@
         wait = each.load.predict_wait(tokens).total_seconds()
         cost = wait + rank * RANK_COST
         cost += RUNNING_COST * (each.load.in_flight + each.load.others_in_flight)
-        if each.record.zone != zone:
+        if each.record.failure_domain != failure_domain:
             cost += DOMAIN_COST
         if must_load:
             cost += _count_load_cost(each, prompt.target, version, load_cost)
--- a/libs/gateway/src/balsamspoke_gateway/replicas.py
+++ b/libs/gateway/src/balsamspoke_gateway/replicas.py
@@ -27,7 +27,7 @@
         Unlike that of any other replica; the same after some restarts.
     born : int
         When it started, in milliseconds; tells restarts under one id apart.
-    service, ip, port, zone
+    service, ip, port, failure_domain
         Where it is.
     slots : int
         Requests that run at once.
@@ -42,7 +42,7 @@
     service: str
     ip: str
     port: int
-    zone: str
+    failure_domain: str
     slots: int
     is_leaving: bool = False
     models: tuple[HeldModel, ...] = ()
--- a/libs/gateway/src/balsamspoke_gateway/settings.py
+++ b/libs/gateway/src/balsamspoke_gateway/settings.py
@@ -14,7 +14,7 @@
     ----------
     vm : str
         Name of this process's VM.
-    ip, zone : str
+    ip, failure_domain : str
         Where it is.
     retry_ratio, retry_extra : float
         Second attempts that the fleet may make in any ``retry_window``: this part
@@ -35,7 +35,7 @@
 
     vm: str
     ip: str
-    zone: str
+    failure_domain: str
     retry_ratio: float = 0.2
     retry_extra: float = 20.0
     retry_window: timedelta = timedelta(seconds=10)
--- a/libs/gateway/tests/world.py
+++ b/libs/gateway/tests/world.py
@@ -32,7 +32,7 @@
 
 HOST = "api.example"
 MODEL = "base"
-SIGNED = ((b"Response-Stamp", b"x"),)
+SIGNED = ((b"X-Signature", b"x"),)
 
 
 def seconds(number):
--- a/libs/transport/src/balsamspoke_transport/logs.py
+++ b/libs/transport/src/balsamspoke_transport/logs.py
@@ -9,6 +9,7 @@
     AttemptEnded,
     DependencyLost,
     Observer,
+    ProgramFailed,
     RequestEnded,
 )
 from loguru import logger
@@ -21,6 +22,8 @@
 LINES_PER_SECOND = 50
 LINES_AT_ONCE = 300
 
+_LEVELS = {DependencyLost: "WARNING", ProgramFailed: "ERROR"}
+
 
 class LineWriter:
     """Write lines to a file descriptor and never wait for its reader.
@@ -130,7 +133,7 @@
         }
         if self._left_out:
             fields["left_out"], self._left_out = self._left_out, 0
-        level = "WARNING" if isinstance(event, DependencyLost) else "INFO"
+        level = _LEVELS.get(type(event), "INFO")
         logger.bind(event=type(event).__name__, **fields).log(level, "")
 
 
--- a/libs/transport/src/balsamspoke_transport/metrics.py
+++ b/libs/transport/src/balsamspoke_transport/metrics.py
@@ -13,15 +13,11 @@
 from prometheus_client import REGISTRY, generate_latest
 
 from .pages import Page
+from .team_labels import TeamLabels
 
 SECONDS_BUCKETS = (
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 1.6, 2.5, 4.0, 6.3, 10.0, 20.0,
 )  # fmt: skip
-# Teams beyond this many share one label, so that memory stays bounded.
-MAXIMUM_TEAM_LABELS = 200
-OTHER_TEAMS = "(other)"
-NO_TEAM = "(open)"
-
 _OK = 200
 _CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 
@@ -58,7 +54,7 @@
         self._events = meter.create_counter(
             "balsamspoke_events", description="Changes of what is believed."
         )
-        self._teams = set()
+        self._labels = TeamLabels()
         self._handlers = {
             RequestEnded: self._note_request,
             AttemptEnded: self._note_attempt,
@@ -83,7 +79,7 @@
             self._events.add(1, {"event": type(event).__name__})
 
     def _note_request(self, event):
-        team = self._label(event.team)
+        team = self._labels.find(event.team)
         labels = {"team": team, "outcome": event.outcome}
         self._durations.record(event.duration.total_seconds(), labels)
         if event.first_event is not None:
@@ -97,14 +93,6 @@
     def _note_order(self, event):
         self._orders.add(1, {"kind": event.kind, "outcome": event.outcome})
 
-    def _label(self, team):
-        if not team:
-            return NO_TEAM
-        if team not in self._teams and len(self._teams) >= MAXIMUM_TEAM_LABELS:
-            return OTHER_TEAMS
-        self._teams.add(team)
-        return team
-
 
 def make_metrics_page():
     """Return the Page of all metrics."""
