Keep a place free where an order lost before a restart could be carried out

Ruled out: two loads at one count (each accepted order advances it). The side process now remembers the counts of orders lost to an earlier start of its replica for 15 s and gives no order that would fill the last place at such a count.

--- a/libs/gateway/src/balsamspoke_gateway/adapters.py
+++ b/libs/gateway/src/balsamspoke_gateway/adapters.py
@@ -12,6 +12,10 @@
 RECENT_USE = timedelta(milliseconds=500)
 
 
+# An order without an answer may be carried out this much later.
+LATE_ORDER = timedelta(seconds=15)
+
+
 class OrderKind(Enum):
     """What a replica is told to do."""
 
@@ -97,6 +101,7 @@
         self._wishes = {}
         self._demands = {}
         self._last_used = {}
+        self._lost = {}
 
     def note_demand(self, entry, demand, now):
         """Take an EntryDemand of an entry process, named by its VM's address."""
@@ -110,6 +115,10 @@
             # Its first request follows at once; until that is told, it is in use.
             self._last_used[wanted.adapter] = now
 
+    def note_lost(self, order, born, now):
+        """Take note that an Order to the start at ``born`` got no answer."""
+        self._lost[(born, order.expected_orders)] = now + LATE_ORDER
+
     def knows(self, entry):
         """Whether an entry process has been heard lately."""
         return entry in self._demands
@@ -140,10 +149,10 @@
         wanted = self._choose_wish(report, now)
         if wanted is None or len(report.pending) >= MOST_PENDING:
             return None
-        held = report.models[wanted.model]
-        if wanted.adapter not in held and self._count_places(report) >= (
-            engine.adapter_places
-        ):
+        is_risky = self._is_late_order_next(report, now)
+        needs_place = is_risky or wanted.adapter not in report.models[wanted.model]
+        places = engine.adapter_places - is_risky
+        if needs_place and self._count_places(report) >= places:
             return self._choose_victim(report, now)
         return Order(
             OrderKind.LOAD,
@@ -153,6 +162,20 @@
             report.orders,
         )
 
+    def _is_late_order_next(self, report, now):
+        """Whether a lost order could be carried out after the next one.
+
+        A replica that restarted counts its orders anew, so an order lost before may
+        find the count that it expects. A place is kept free for that moment.
+        """
+        for key, expires in list(self._lost.items()):
+            if now > expires:
+                del self._lost[key]
+        return any(
+            born != report.born and expected == report.orders + 1
+            for born, expected in self._lost
+        )
+
     @staticmethod
     def _choose_model(report, engine):
         for model in engine.models:
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -124,6 +124,8 @@
             outcome = await self._replica.give_order(order, self._report.born)
         except AttemptError as error:
             outcome = type(error).__name__
+            now = self._clock.monotonic()
+            self._plan.note_lost(order, self._report.born, now)
         report = self._report
         self._observer.observe(
             OrderGiven(
--- a/libs/gateway/tests/test_adapters.py
+++ b/libs/gateway/tests/test_adapters.py
@@ -72,6 +72,23 @@
         self.assertEqual((order.kind, order.adapter), (OrderKind.LOAD, "a"))
         self.assertEqual(order.version, 2)
 
+    def test_leaves_a_place_for_an_order_lost_before_a_restart(self):
+        # Found in scale-1 of ampet: a load that got no answer was carried out after
+        # the replica had restarted and counted as many orders again, and was full.
+        self.plan.note_demand("e1", want("old"), seconds(1))
+        lost = self.plan.choose_order(hold(orders=7), ENGINE, seconds(1))
+        self.plan.note_lost(lost, 1, seconds(1))
+        self.plan.note_demand("e1", want("x"), seconds(5))
+        restarted = EngineReport(2, {MODEL: {"a": 1, "b": 1}}, orders=6)
+        order = self.plan.choose_order(restarted, ENGINE, seconds(5))
+        self.assertEqual(order.kind, OrderKind.UNLOAD)
+        other = EngineReport(2, {MODEL: {"a": 1, "b": 1}}, orders=7)
+        order = self.plan.choose_order(other, ENGINE, seconds(5))
+        self.assertEqual(order.kind, OrderKind.LOAD)
+        self.plan.note_demand("e1", want("x"), seconds(20))
+        order = self.plan.choose_order(restarted, ENGINE, seconds(20))
+        self.assertEqual(order.kind, OrderKind.LOAD)
+
     def test_forgets_wishes_that_are_not_repeated(self):
         self.plan.note_demand("e1", want("x"), seconds(1))
         self.assertIsNone(self.plan.choose_order(hold(), ENGINE, seconds(3)))
