Apply the configuration's limits on what a caller sends

Cause: CallerLimits was decoded and not used: the listener kept Twisted's own limits (16 KB of headers whatever the configuration says, so that a larger allowed head was refused) and kept bodies of any length in memory.

Ruled out: ending the connection in the middle of a long body. Twisted's reader can't be stopped inside a chunked body without its private state; now no more than one byte beyond the limit is kept, and the whole request is refused with 413.

--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -5,6 +5,7 @@
 from balsamspoke_types.exceptions import StoreUnavailable
 from twisted.internet.defer import Deferred
 
+from .configuration import CallerLimits
 from .following import Follower, StoreReachability
 from .forwarding import Forwarding
 from .messages import EntryUsage, ReplicaState
@@ -84,6 +85,12 @@
         configuration = self.context.configuration
         return None if configuration is None else configuration.version
 
+    @property
+    def caller_limits(self):
+        """CallerLimits in force; the defaults while no configuration is known."""
+        configuration = self.context.configuration
+        return CallerLimits() if configuration is None else configuration.caller_limits
+
     @property
     def store_silence(self):
         """Seconds since the store has last answered; None if it never has."""
--- a/libs/gateway/src/balsamspoke_gateway/exceptions.py
+++ b/libs/gateway/src/balsamspoke_gateway/exceptions.py
@@ -35,6 +35,13 @@
         super().__init__("no team holds the key")
 
 
+class BodyTooLarge(RequestRefused):
+    """The body is longer than the configuration allows."""
+
+    def __init__(self, limit):
+        super().__init__(f"the body is longer than {limit} bytes")
+
+
 class NotReady(RequestRefused):
     """The process knows no configuration yet, or is about to end."""
 
--- a/libs/gateway/src/balsamspoke_gateway/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -13,6 +13,7 @@
     NO_DELAY,
     AnswerLost,
     AnswerOverdue,
+    BodyTooLarge,
     NoReplica,
     NotReady,
     NotSent,
@@ -121,6 +122,9 @@
         if configuration is None:
             raise NotReady("no configuration is known yet", BUSY_RETRY_AFTER)
         request = self.request
+        longest = configuration.caller_limits.body_bytes
+        if len(request.body) > longest:
+            raise BodyTooLarge(longest)
         self.route = configuration.find_route(request.host, request.path)
         if configuration.teams and not self.route.is_open:
             self.team = configuration.find_team(request.key)
--- a/libs/gateway/tests/test_forwarding.py
+++ b/libs/gateway/tests/test_forwarding.py
@@ -2,6 +2,7 @@
 
 from balsamspoke_gateway.exceptions import (
     AnswerLost,
+    BodyTooLarge,
     NoReplica,
     NotReady,
     NotSent,
@@ -116,6 +117,13 @@
         self.assertIsInstance(sink.refusal, NoReplica)
         self.assertEqual(self.world.context.quotas.admitted["harbour"], 0)
 
+    def test_refuses_a_body_beyond_the_limit_and_charges_nothing(self):
+        longest = self.world.context.configuration.caller_limits.body_bytes
+        sink, _ = self.world.send("keyed", key="key-1", body=b"a" * (longest + 1))
+        self.assertIsInstance(sink.refusal, BodyTooLarge)
+        self.assertEqual(self.world.client.sent, [])
+        self.assertEqual(self.world.context.quotas.admitted, {})
+
     def test_refuses_over_the_limit_with_the_time_to_come_back(self):
         for _ in range(2):
             self.world.send("keyed", key="key-1", token_cost=60)
--- a/libs/gateway/tests/world.py
+++ b/libs/gateway/tests/world.py
@@ -62,6 +62,7 @@
         ),
         make_route("stream", RequestKind.STREAMING, "engines", is_open=True),
         make_route("keyed", RequestKind.SAFE, "plain", attempts=2),
+        make_route("keyed-stream", RequestKind.STREAMING, "engines"),
     ),
     (
         Service("plain", 10),
@@ -243,10 +244,19 @@
         self.context.fleet.note_state(record.ip, state)
         self.context.demands.note_state(record.id, state.models)
 
-    def send(self, route, adapter=None, key=None, patience=5, tokens=100, **others):
+    def send(
+        self,
+        route,
+        adapter=None,
+        key=None,
+        patience=5,
+        tokens=100,
+        body=b"",
+        **others,
+    ):
         """Begin on a request; return its RecordedSink and the running Deferred."""
         prompt = None
-        if route in ("resumable", "stream"):
+        if route in ("resumable", "stream", "keyed-stream"):
             prompt = Prompt(AdapterName(MODEL, adapter), tokens, 50)
         request = CallerRequest(
             "id-1",
@@ -255,7 +265,7 @@
             HOST,
             f"/{route}/x",
             (),
-            b"",
+            body,
             key,
             seconds(patience),
             prompt,
--- a/libs/transport/src/balsamspoke_transport/callers.py
+++ b/libs/transport/src/balsamspoke_transport/callers.py
@@ -11,6 +11,8 @@
 _NOT_PASSED = frozenset(
     (b"connection", b"keep-alive", b"transfer-encoding", b"content-length")
 )
+# The time runs only until a request has come whole: it has not been handled.
+_REQUEST_TIMEOUT = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n"
 
 
 class CallerExchange(http.Request, CallerSink):
@@ -29,6 +31,16 @@
     def gotLength(self, length):
         """Keep the body in memory: the VM has no disk."""
         self.content = BytesIO()
+        self.channel.note_head_end()
+
+    def handleContentChunk(self, data):
+        """Keep a piece of the body, up to one byte beyond the limit.
+
+        The rest is read and dropped, so that a caller who sends too much costs no
+        memory and still gets an answer.
+        """
+        room = self.channel.limits.body_bytes + 1 - self.content.tell()
+        self.content.write(data[:room])
 
     def process(self):
         """Take the request, which has come whole."""
@@ -85,9 +97,9 @@
     Parameters
     ----------
     reactor : IReactorTime
-        Runs the idle limit.
-    idle_timeout : timedelta
-        For a connection without a request.
+        Runs the time limits.
+    find_limits : callable
+        Returns the CallerLimits in force.
     on_request : callable
         Called with a CallerExchange; returns a Deferred to cancel, or None.
     describe_refusal, describe_failure : callable
@@ -101,13 +113,14 @@
     def __init__(
         self,
         reactor,
-        idle_timeout,
+        find_limits,
         on_request,
         describe_refusal,
         describe_failure,
         is_closing,
     ):
-        super().__init__(timeout=idle_timeout.total_seconds(), reactor=reactor)
+        super().__init__(reactor=reactor)
+        self.find_limits = find_limits
         self.on_request = on_request
         self.describe_refusal = describe_refusal
         self.describe_failure = describe_failure
@@ -118,7 +131,6 @@
         """Return the protocol of a new connection."""
         channel = CallerChannel(self)
         channel.factory = self
-        channel.timeOut = self.timeOut
         channel.callLater = self.reactor.callLater
         return channel
 
@@ -140,19 +152,55 @@
 
     def __init__(self, factory):
         super().__init__()
-        self._channels = factory.channels
+        self._factory = factory
+        self._is_reading_head = False
+        self.limits = None
 
     def connectionMade(self):
         """Keep account of the connection."""
+        self._adopt_limits()
+        self.timeOut = self.limits.idle_timeout.total_seconds()
         super().connectionMade()
         set_probes(self.transport)
-        self._channels.add(self)
+        self._factory.channels.add(self)
 
     def connectionLost(self, reason):
         """Forget the connection."""
-        self._channels.discard(self)
+        self._factory.channels.discard(self)
         super().connectionLost(reason)
 
+    def dataReceived(self, data):
+        """Read requests; the first byte of each starts its head's time."""
+        if not self.requests and not self._is_reading_head:
+            self._adopt_limits()
+            self.setTimeout(self.limits.header_timeout.total_seconds())
+            self._is_reading_head = True
+        super().dataReceived(data)
+
+    def resetTimeout(self):
+        """Start the idle time anew; a head's time goes on."""
+        if not self._is_reading_head:
+            super().resetTimeout()
+
+    def note_head_end(self):
+        """Let the idle time begin, within which the body's next piece must come."""
+        self._is_reading_head = False
+        self.setTimeout(self.limits.idle_timeout.total_seconds())
+
+    def timeoutConnection(self):
+        """Close; a caller in the middle of a request is told that it has not run."""
+        if self._is_reading_head or self.requests:
+            self.transport.write(_REQUEST_TIMEOUT)
+        super().timeoutConnection()
+
     def abortConnection(self):
         """Close at once."""
         self.transport.abortConnection()
+
+    def _adopt_limits(self):
+        """Put the limits in force for the next request."""
+        limits = self._factory.find_limits()
+        self.limits = limits
+        # Twisted's names: the longest line, and all lines of a head.
+        self.MAX_LENGTH = limits.header_bytes
+        self.totalHeadersSize = limits.header_bytes
