Give tokens back to a caller that left before its request was sent

Cause: a cancelled request reported CallerLeft and kept its charge, also while it still waited for an adapter. A team whose callers give up early was refused inside its limit.

Ruled out: giving back after a send: the replica may have run it, so the charge stays.

The test failed before (90 tokens charged, none given back).

--- a/libs/gateway/src/balsamspoke_gateway/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -104,6 +104,7 @@
         except (TimedOut, OutcomeUnknown) as error:
             self._end(error, self.sink.fail)
         except CancelledError:
+            self._refund()
             self._report("CallerLeft")
         except Exception:
             # A bug must not leave the caller without an answer.
@@ -280,6 +281,10 @@
         outcome, reason = ANSWERED, ""
         try:
             await attempt.run()
+        except CancelledError as error:
+            outcome, reason = type(error).__name__, "the caller has left"
+            self.progress.runs += 1
+            raise
         except BaseException as error:
             outcome, reason = type(error).__name__, str(error)
             raise
--- a/libs/gateway/tests/test_forwarding.py
+++ b/libs/gateway/tests/test_forwarding.py
@@ -117,6 +117,26 @@
         self.assertIsInstance(sink.refusal, NoReplica)
         self.assertEqual(self.world.context.quotas.admitted["harbour"], 0)
 
+    def test_gives_back_the_tokens_of_a_caller_that_left_before_its_request_was_sent(
+        self,
+    ):
+        world = World()
+        record = make_record("a", "engines")
+        world.add(record)
+        world.tell_state(record, {})
+        _, running = world.send(
+            "keyed-stream", adapter="a7", key="key-1", token_cost=90
+        )
+        running.cancel()
+        self.assertEqual(world.client.sent, [])
+        self.assertEqual(world.context.quotas.admitted["harbour"], 0)
+
+    def test_keeps_the_tokens_of_a_caller_that_left_while_its_request_ran(self):
+        self.script_both(Answer(is_silent=True))
+        _, running = self.world.send("keyed", key="key-1", token_cost=90)
+        running.cancel()
+        self.assertEqual(self.world.context.quotas.admitted["harbour"], 90)
+
     def test_refuses_a_body_beyond_the_limit_and_charges_nothing(self):
         longest = self.world.context.configuration.caller_limits.body_bytes
         sink, _ = self.world.send("keyed", key="key-1", body=b"a" * (longest + 1))
