--- a/libs/ctl/src/balsamspoke_ctl/command.py
+++ b/libs/ctl/src/balsamspoke_ctl/command.py
@@ -13,6 +13,7 @@
 from .output import Output
 from .parser import make_parser
 from .presentation import format_conflict
+from .shares import HttpMetricsClient
 from .writing import ChangeWriter
 
 
@@ -60,6 +61,9 @@
 
 def _check_addresses(parser, parsed):
     needs = set(parsed.needs)
+    if getattr(parsed, "metrics", None):
+        # The processes are named, so that neither list of the platform is needed.
+        return
     if getattr(parsed, "wait", False) or parsed.command == "wait":
         needs.add("vm_list")
     if parsed.command == "status" and parsed.team:
@@ -118,6 +122,7 @@
             clock,
         ),
         writer=ChangeWriter(store, clock, source, parsed.timeout),
+        metrics=HttpMetricsClient(make_caller),
         output=Output(parsed.output == "json"),
         timeout=parsed.timeout,
     )
--- a/libs/ctl/src/balsamspoke_ctl/context.py
+++ b/libs/ctl/src/balsamspoke_ctl/context.py
@@ -16,6 +16,8 @@
         The processes.
     writer : ChangeWriter
         Writes changes.
+    metrics : MetricsClient
+        The processes' metrics.
     output : Output
         Prints.
     timeout : timedelta
@@ -25,5 +27,6 @@
     store: object
     fleet: object
     writer: object
+    metrics: object
     output: object
     timeout: timedelta
--- a/libs/ctl/src/balsamspoke_ctl/fleet_commands.py
+++ b/libs/ctl/src/balsamspoke_ctl/fleet_commands.py
@@ -1,16 +1,19 @@
 """Commands on the fleet: status, wait, explain."""
 
+from dataclasses import asdict, astuple
+
 from balsamspoke_types.exceptions import StoreError
 from balsamspoke_types.objects import Adapter, KeyRecord, Kind
 from twisted.internet.defer import inlineCallbacks
 
 from .catalogue import make_unavailable, read_catalogue, read_object
 from .changes import decode_stored
-from .exceptions import NoSuchItem
+from .exceptions import NoSuchItem, ProcessUnreachable
 from .exit_codes import ExitCode
 from .object_commands import report_wait
 from .output import format_table
 from .presentation import describe_object, format_object
+from .shares import parse_share
 
 _STATUS_HEADINGS = (
     "vm",
@@ -24,12 +27,15 @@
     "queued",
     "adapters",
 )
+_SHARE_HEADINGS = ("process", "tokens left", "tokens a second", "admitted")
 _LONGEST_LIST_OF_ADAPTERS = 4
 
 
 @inlineCallbacks
 def status(arguments, context):
     """Show the processes of the fleet, or what concerns a team or adapter."""
+    if arguments.metrics:
+        return (yield _show_shares(arguments.team, arguments.metrics, context))
     answers = yield context.fleet.ask_all("/status")
     if arguments.team:
         return (yield _show_team(arguments.team, answers, context))
@@ -110,6 +116,29 @@
     return ExitCode.OK
 
 
+@inlineCallbacks
+def _show_shares(team, addresses, context):
+    shares = []
+    is_complete = True
+    for address in addresses:
+        try:
+            text = yield context.metrics.read(address)
+        except ProcessUnreachable as error:
+            context.output.show_problem(str(error))
+            is_complete = False
+            continue
+        share = parse_share(address, text, team)
+        if share is not None:
+            shares.append(share)
+    if not shares and is_complete:
+        raise NoSuchItem(f"no process has a limit for a team named {team}")
+    context.output.show(
+        {"team": team, "shares": [asdict(share) for share in shares]},
+        format_table(_SHARE_HEADINGS, [astuple(share) for share in shares]),
+    )
+    return ExitCode.OK if is_complete else ExitCode.UNAVAILABLE
+
+
 def _is_adapter_of(value, team):
     return isinstance(value, Adapter) and value.team == team
 
--- a/libs/ctl/src/balsamspoke_ctl/parser.py
+++ b/libs/ctl/src/balsamspoke_ctl/parser.py
@@ -119,6 +119,12 @@
 def _add_fleet_commands(commands):
     status = _add(commands, "status", fleet_commands.status, needs=("vm_list",))
     status.add_argument("--team", help="a team's limits, keys and loaded adapters")
+    status.add_argument(
+        "--metrics",
+        nargs="+",
+        metavar="IP:PORT",
+        help="with --team: its shares at entry processes with these metrics ports",
+    )
     status.add_argument("--adapter", help="where ADAPTER or ADAPTER:VERSION is loaded")
     wait = _add(commands, "wait", fleet_commands.wait)
     wait.add_argument("--revision", type=int, help="the newest one if left out")
--- a/libs/ctl/tests/harness.py
+++ b/libs/ctl/tests/harness.py
@@ -14,6 +14,7 @@
 from balsamspoke_ctl.fleet import Fleet, StatusClient
 from balsamspoke_ctl.output import Output
 from balsamspoke_ctl.parser import make_parser
+from balsamspoke_ctl.shares import MetricsClient
 from balsamspoke_ctl.writing import ChangeWriter
 from balsamspoke_fakes import (
     FakeStore,
@@ -54,6 +55,18 @@
         return succeed(self.documents[vm.vm].get(path))
 
 
+class FakeMetricsClient(MetricsClient):
+    """Answers with a page by address; an address that isn't there doesn't answer."""
+
+    def __init__(self):
+        self.pages = {}
+
+    def read(self, address):
+        if address not in self.pages:
+            return fail(ProcessUnreachable(f"{address}: refused"))
+        return succeed(self.pages[address])
+
+
 class CtlHarness:
     """One platform, and commands run against it."""
 
@@ -63,6 +76,7 @@
         self.state = StoreState()
         self.vms = VmListState(self.time)
         self.status = FakeStatusClient()
+        self.metrics = FakeMetricsClient()
         folder = tempfile.TemporaryDirectory()
         test.addCleanup(folder.cleanup)
         self.folder = Path(folder.name)
@@ -105,6 +119,7 @@
             store=self.store,
             fleet=Fleet(vm_list, harness.status, clock),
             writer=writer,
+            metrics=harness.metrics,
             output=output,
             timeout=parsed.timeout,
         )
--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -113,6 +113,15 @@
         """Return how many entry processes are not heard."""
         return self.context.quotas.count_silent(self.context.clock.monotonic())
 
+    def list_shares(self):
+        """Return the TeamShare of each team that has a limit."""
+        context = self.context
+        if context.configuration is None:
+            return []
+        now = context.clock.monotonic()
+        limited = [team for team in context.configuration.teams if team.rate > 0]
+        return [context.quotas.describe(team, now) for team in limited]
+
     def start(self):
         """Follow the store and talk to the peers; returns at once."""
         sources = self._sources
--- a/libs/gateway/src/balsamspoke_gateway/quotas.py
+++ b/libs/gateway/src/balsamspoke_gateway/quotas.py
@@ -50,6 +50,28 @@
     tokens: dict[str, float]
 
 
+@dataclass(frozen=True, slots=True)
+class TeamShare:
+    """What one entry process may still admit of a team.
+
+    Attributes
+    ----------
+    team : str
+        Its name.
+    tokens_left : float
+        Below zero after a request that cost more than was left.
+    rate : float
+        Tokens that come back in a second here.
+    admitted : float
+        Tokens admitted here since the start.
+    """
+
+    team: str
+    tokens_left: float
+    rate: float
+    admitted: float
+
+
 class _Bucket:
     __slots__ = ("level", "updated")
 
@@ -97,10 +119,8 @@
         """
         if team.rate <= 0:
             return
-        part = self._find_part(now)
-        tolerated = USED_TOLERANCE * self._tolerance.count_rate(team)
-        rate = min(team.rate, part * (team.rate + tolerated))
-        bucket = self._refill(team, rate, part * team.burst, now)
+        rate = self._find_rate(team, now)
+        bucket = self._refill(team, rate, now)
         if bucket.level <= 0:
             reason = (
                 f"team {team.name} is over its limit: {bucket.level:.0f} tokens left, "
@@ -110,6 +130,12 @@
         bucket.level -= tokens
         self._admitted[team.name] = self._admitted.get(team.name, 0.0) + tokens
 
+    def describe(self, team, now):
+        """Return the TeamShare of a Team that has a limit."""
+        rate = self._find_rate(team, now)
+        level = self._refill(team, rate, now).level
+        return TeamShare(team.name, level, rate, self._admitted.get(team.name, 0.0))
+
     def give_back(self, team, tokens):
         """Take back an admitted request that has not run."""
         bucket = self._buckets.get(team.name)
@@ -160,7 +186,13 @@
         """Return the part of the rate that is this group's."""
         return 1 - self.count_silent(now) / (len(self._heard) + 1)
 
-    def _refill(self, team, rate, burst, now):
+    def _find_rate(self, team, now):
+        part = self._find_part(now)
+        tolerated = USED_TOLERANCE * self._tolerance.count_rate(team)
+        return min(team.rate, part * (team.rate + tolerated))
+
+    def _refill(self, team, rate, now):
+        burst = self._find_part(now) * team.burst
         bucket = self._buckets.get(team.name)
         if bucket is None:
             bucket = _Bucket(team.burst * FIRST_LEVEL, now)
--- a/libs/transport/src/balsamspoke_transport/metrics.py
+++ b/libs/transport/src/balsamspoke_transport/metrics.py
@@ -70,6 +70,18 @@
 
         self.meter.create_observable_gauge(name, [observe], description=description)
 
+    def add_team_gauge(self, name, description, read):
+        """Add a gauge by team; a callable returns pairs of team and value."""
+
+        def observe(_):
+            # Teams beyond the bound of labels share one, whose last value shows.
+            return [
+                Observation(value, {"team": self._labels.find(team)})
+                for team, value in read()
+            ]
+
+        self.meter.create_observable_gauge(name, [observe], description=description)
+
     def observe(self, event):
         """Take an event."""
         handle = self._handlers.get(type(event))
