Keep each request of a flood findable by its id: ids that ended alike share a line

Cause: beyond 50 lines a second a process left lines out and told only their number, so that a refused request of the worst seconds, the one a team asks about, was not found.

Ids of requests that ended alike now share a line a second (at most 1000), and trace finds them.

--- a/libs/ctl/src/balsamspoke_ctl/log_commands.py
+++ b/libs/ctl/src/balsamspoke_ctl/log_commands.py
@@ -29,6 +29,11 @@
     event: str
     fields: dict
 
+    def concerns(self, request):
+        """Whether the line tells of a request, alone or among others."""
+        is_only = self.fields.get("request") == request
+        return is_only or request in self.fields.get("requests", ())
+
     def format(self):
         """Return the line for people."""
         details = " ".join(
@@ -44,7 +49,7 @@
     and so are lines without any.
     """
     lines = list(_read_lines(arguments.files))
-    own = [line for line in lines if line.fields.get("request") == arguments.request]
+    own = [line for line in lines if line.concerns(arguments.request)]
     if not own:
         raise NoSuchItem(f"no line tells of request {arguments.request}")
     for line in [*_find_beliefs(lines, own, arguments.beliefs), *own]:
--- a/libs/gateway/src/balsamspoke_gateway/observing.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing.py
@@ -84,6 +84,33 @@
     first_event: timedelta | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class RequestsEnded:
+    """Several requests ended alike in the last second, too many for a line each.
+
+    Attributes
+    ----------
+    route, team, outcome : str
+        As in a line on one request.
+    reason : str
+        Of the first of them.
+    status : int
+        HTTP status of the answers.
+    configuration : int
+        Version in force; 0 if none was known.
+    requests : tuple of str
+        Ids.
+    """
+
+    route: str
+    team: str
+    outcome: str
+    reason: str
+    status: int
+    configuration: int
+    requests: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationAdopted:
     """A newer configuration is in force in this process."""
--- a/libs/transport/src/balsamspoke_transport/logs.py
+++ b/libs/transport/src/balsamspoke_transport/logs.py
@@ -11,6 +11,7 @@
     Observer,
     ProgramFailed,
     RequestEnded,
+    RequestsEnded,
 )
 from loguru import logger
 
@@ -21,6 +22,10 @@
 # left out, so that a flood of refusals does not cost the processor.
 LINES_PER_SECOND = 50
 LINES_AT_ONCE = 300
+# Beyond that, the ids of requests that ended alike share a line, this often.
+GATHERING_TIME = timedelta(seconds=1)
+# Bounds the memory and the lines of one gathering.
+MOST_GATHERED = 1000
 
 _LEVELS = {DependencyLost: "WARNING", ProgramFailed: "ERROR"}
 
@@ -101,6 +106,8 @@
         self._allowance = float(LINES_AT_ONCE)
         self._updated = clock.monotonic()
         self._left_out = 0
+        self._gathered = {}
+        self._gathered_count = 0
 
     def observe(self, event):
         """Log an event, unless it is the usual end of a request."""
@@ -110,11 +117,32 @@
             if event.attempts == 0:
                 return
         is_request = isinstance(event, (AttemptEnded, RequestEnded))
-        if is_request and not self._allow():
+        if not is_request or self._allow():
+            self._write(event)
+        elif isinstance(event, RequestEnded) and self._gathered_count < MOST_GATHERED:
+            self._gather(event)
+        else:
             self._left_out += 1
             self.left_out += 1
-            return
-        self._write(event)
+
+    def _gather(self, event):
+        """Keep the id for a line on all requests that ended alike."""
+        if not self._gathered:
+            self._clock.call_later(GATHERING_TIME, self._write_gathered)
+        key = (event.route, event.team, event.outcome, event.status)
+        self._gathered.setdefault(key, []).append(event)
+        self._gathered_count += 1
+
+    def _write_gathered(self):
+        gathered, self._gathered = self._gathered, {}
+        self._gathered_count = 0
+        for (route, team, outcome, status), events in gathered.items():
+            first = events[0]
+            ids = tuple(event.request for event in events)
+            line = RequestsEnded(
+                route, team, outcome, first.reason, status, first.configuration, ids
+            )
+            self._write(line)
 
     def _allow(self):
         now = self._clock.monotonic()
--- a/tools/write_log_page.py
+++ b/tools/write_log_page.py
@@ -16,9 +16,10 @@
 
 Lines on single requests (`AttemptEnded`, `RequestEnded`) are written when the request
 did not simply come to its answer at the first attempt: at most 50 a second on average
-and 300 at once a process; `left_out` then counts what was left out since the last
-line. A full pipe drops lines, which the metric `balsamspoke_log_lines_dropped` counts.
-No line holds a key.
+and 300 at once a process. Beyond that the ids of requests that ended alike share a line
+a second (`RequestsEnded`, at most 1000 ids), and lines on their attempts are left out;
+`left_out` counts what no line tells since the last one. A full pipe drops lines, which
+the metric `balsamspoke_log_lines_dropped` counts. No line holds a key.
 
 `Started`, `Stopping`, `Stopped`, `Ended`, `Reloaded` and `ReloadFailed` tell of the
 process; `open_requests` and `reason` go with them.
