Spread rare adapters over the queues of loads

Cause: an entry process saw at most the four adapters on their way to a replica, not the wishes queued behind them; in a burst one replica was asked for 100 loads in eight seconds and another for 24.

Side processes tell how many adapters are wanted, and placement counts that queue.

--- a/libs/gateway/src/balsamspoke_gateway/adapters.py
+++ b/libs/gateway/src/balsamspoke_gateway/adapters.py
@@ -148,6 +148,10 @@
                 del self._demands[entry]
         return {entry: known.demand for entry, known in self._demands.items()}
 
+    def count_wanted(self, report):
+        """Return how many adapters are asked for that an EngineReport lacks."""
+        return sum(not _is_met(report, wanted) for wanted in self._wishes)
+
     def choose_order(self, report, engine, now):
         """Return the next Order, or None.
 
@@ -204,10 +208,8 @@
     def _choose_wish(self, report, now):
         wishes = sorted(self._wishes.items(), key=lambda each: each[1].first)
         for wanted, wish in wishes:
-            held = report.models.get(wanted.model)
             coming = report.pending.get(f"{wanted.model}/{wanted.adapter}", -1)
-            is_met = held is None or held.get(wanted.adapter, -1) >= wanted.version
-            if is_met or now > max(wish.expires.values()):
+            if _is_met(report, wanted) or now > max(wish.expires.values()):
                 del self._wishes[wanted]
             elif coming < wanted.version:
                 return wanted
@@ -239,3 +241,9 @@
         _, model, name = min(choices)
         self._last_used.pop(name, None)
         return Order(OrderKind.UNLOAD, model, name, 0, report.orders)
+
+
+def _is_met(report, wanted):
+    """Whether there is nothing to load for a WantedAdapter."""
+    held = report.models.get(wanted.model)
+    return held is None or held.get(wanted.adapter, -1) >= wanted.version
--- a/libs/gateway/src/balsamspoke_gateway/fleet.py
+++ b/libs/gateway/src/balsamspoke_gateway/fleet.py
@@ -162,7 +162,9 @@
             if name.startswith(prefix)
         }
         copied = self._copies.get(record.id, {})
-        return Candidate(record, load, held, pending, copied, True)
+        return Candidate(
+            record, load, held, pending, copied, state.wanted_adapters, True
+        )
 
     def _note_copies(self, replica_id, state):
         """Remember what an engine has held, the latest last."""
--- a/libs/gateway/src/balsamspoke_gateway/messages.py
+++ b/libs/gateway/src/balsamspoke_gateway/messages.py
@@ -57,6 +57,8 @@
         Adapters on their way, as model/name, and their versions.
     running, waiting : int
         Requests of all processes.
+    wanted_adapters : int
+        Adapters that are asked for and not there yet, those on their way included.
     others_in_flight, others_unread_tokens : int
         As the other entry processes told.
     interval : float
@@ -68,6 +70,7 @@
     pending: dict[str, int] = field(default_factory=dict)
     running: int = 0
     waiting: int = 0
+    wanted_adapters: int = 0
     others_in_flight: int = 0
     others_unread_tokens: int = 0
     interval: float = 0.2
--- a/libs/gateway/src/balsamspoke_gateway/placement.py
+++ b/libs/gateway/src/balsamspoke_gateway/placement.py
@@ -48,6 +48,8 @@
     copied : dict
         Versions of the adapters (by AdapterName) that it loads fast, as it held them
         lately.
+    wanted_adapters : int
+        Adapters that it has been asked for, those on their way included.
     can_load : bool
         Whether its side process is heard and loads what is asked for.
     """
@@ -57,6 +59,7 @@
     held: dict[str, int] | None = None
     pending: dict[str, int] = field(default_factory=dict)
     copied: dict[AdapterName, int] = field(default_factory=dict)
+    wanted_adapters: int = 0
     can_load: bool = False
 
 
@@ -159,7 +162,8 @@
     """Return the seconds that loading an adapter at a replica costs."""
     if candidate.pending.get(target.adapter, -1) >= version:
         return PENDING_COST
-    queued = LOAD_COST * (len(candidate.pending) // LOADS_AT_ONCE)
+    ahead = max(len(candidate.pending), candidate.wanted_adapters)
+    queued = LOAD_COST * (ahead // LOADS_AT_ONCE)
     if candidate.copied.get(target, -1) >= version:
         return COPIED_COST + queued
     return load_cost + queued
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -164,6 +164,7 @@
                 self._report.pending,
                 self._report.running,
                 self._report.waiting,
+                self._plan.count_wanted(self._report),
                 in_flight - demand.in_flight,
                 unread - demand.unread_tokens,
                 interval.total_seconds(),
--- a/libs/gateway/tests/test_decisions.py
+++ b/libs/gateway/tests/test_decisions.py
@@ -258,6 +258,18 @@
             self.choose(others + [self.make("c", {})]).candidate.record.id,
         )
 
+    def test_spreads_rare_adapters_over_the_queues_of_loads(self):
+        # Load pattern: a burst asks for more adapters than the replicas load; those
+        # of one replica's rank queued there for seconds while others had none.
+        candidates = [self.make(name, {}) for name in "abc"]
+        first = self.choose(candidates).candidate.record.id
+        others = [self.make(name, {}) for name in "abc" if name != first]
+        queued = self.make(first, {}, wanted_adapters=12)
+        chosen = self.choose([queued, *others]).candidate.record.id
+        self.assertNotEqual(chosen, first)
+        short = self.make(first, {}, wanted_adapters=3)
+        self.assertEqual(self.choose([short, *others]).candidate.record.id, first)
+
     def test_takes_no_older_version(self):
         choice = self.choose([self.make("b", {"a1": 1})], version=2)
         self.assertTrue(choice.must_load)
--- a/libs/gateway/tests/test_side.py
+++ b/libs/gateway/tests/test_side.py
@@ -86,6 +86,15 @@
         self.time.advance(seconds(0.02))
         self.assertEqual(self.find_states()[-1].models, {MODEL: {"a1": 1}})
 
+    def test_tells_how_many_adapters_are_wanted(self):
+        self.control.lost = 1000
+        self.want("a1", "a2", "a3")
+        self.time.advance(seconds(0.4))
+        self.assertEqual(self.find_states()[-1].wanted_adapters, 3)
+        self.control.lost = 0
+        self.time.advance(seconds(0.4))
+        self.assertLess(self.find_states()[-1].wanted_adapters, 3)
+
     def test_gives_a_lost_order_again_with_the_same_count(self):
         # Load pattern: a third of the orders get no answer while adapters queue.
         self.control.lost = 2
