Let requests wait on where their load is queued

Cause: after 0.7 s a request chose again as if it had never waited, lost its place in the queue and asked for a load elsewhere; a late answer came later still.

A request now counts its place as a load on its way, up to three times, then any replica is as good. The tests replay a queue at one of two replicas; both failed before.

--- a/libs/gateway/src/balsamspoke_gateway/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -23,7 +23,7 @@
     TimedOut,
 )
 from .observing import ANSWERED, AttemptEnded, RequestEnded
-from .placement import Choice, choose_engine, choose_plain
+from .placement import Choice, EngineNeed, choose_engine, choose_plain
 from .timing import limit
 
 # A caller that is refused for want of capacity comes back after about this long.
@@ -33,8 +33,10 @@
 MODEL_RETRY_AFTER = timedelta(milliseconds=800)
 # Replicas asked in vain before a request is refused, whatever the budget allows.
 MOST_TRIES = 4
-# How long a request waits for an adapter before it looks for another replica.
+# How long a request waits for an adapter before it looks for a better replica.
 ADAPTER_PATIENCE = timedelta(milliseconds=700)
+# After so many times in vain at one replica, another one is as good to wait at.
+MOST_WAITS = 3
 # Part of the objective by which a request must be predicted to begin.
 ADMITTED_PART = 1.0
 # A replica that has not begun within this many objectives is given up, if the
@@ -56,6 +58,10 @@
         Id of the stream's last event that the caller has.
     first_event_at : timedelta or None
         When the first event went on to the caller.
+    awaited : str or None
+        Id of the replica where it last waited for an adapter in vain.
+    waits : int
+        How often it did, one time after the other.
     """
 
     excluded: set = field(default_factory=set)
@@ -63,6 +69,13 @@
     tries: int = 0
     last_event: int | None = None
     first_event_at: timedelta | None = None
+    awaited: str | None = None
+    waits: int = 0
+
+    def note_wait(self, replica_id):
+        """Take note that a replica had not loaded the adapter in time."""
+        self.waits = self.waits + 1 if replica_id == self.awaited else 1
+        self.awaited = replica_id
 
 
 class Forwarding:
@@ -203,6 +216,7 @@
                 return choice
             if await self._wait_for_adapter(choice):
                 return choice
+            self.progress.note_wait(choice.candidate.record.id)
 
     def _choose(self):
         prompt = self.request.prompt
@@ -215,20 +229,26 @@
         if prompt is None:
             best = choose_plain(candidates, failure_domain, self.context.draw)
             return Choice(best, NO_DELAY)
-        version = self.context.versions.find(prompt.target)
         choice = choose_engine(
             candidates,
-            prompt,
-            version,
-            failure_domain,
+            self._describe_need(prompt, failure_domain),
             lambda replica: self.context.read_parts.count_kept(prompt, replica),
-            self._popularity * self.context.processes,
         )
         if choice is None:
             raise self._end_without_replica()
         self._check_wait(choice)
         return choice
 
+    def _describe_need(self, prompt, failure_domain):
+        progress = self.progress
+        return EngineNeed(
+            prompt,
+            self.context.versions.find(prompt.target),
+            failure_domain,
+            self._popularity * self.context.processes,
+            progress.awaited if progress.waits < MOST_WAITS else None,
+        )
+
     def _end_without_replica(self):
         if self.progress.runs:
             return OutcomeUnknown("no other replica can take the request")
--- a/libs/gateway/src/balsamspoke_gateway/placement.py
+++ b/libs/gateway/src/balsamspoke_gateway/placement.py
@@ -7,7 +7,7 @@
 
 from .loads import ReplicaLoad
 from .replicas import ReplicaRecord
-from .requests import AdapterName
+from .requests import AdapterName, Prompt
 
 # What it costs to wait for an adapter, in seconds: somewhat above the time of a
 # load, so that a small difference in load does not spread an adapter.
@@ -63,6 +63,31 @@
     can_load: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class EngineNeed:
+    """What a request needs of an engine.
+
+    Attributes
+    ----------
+    prompt : Prompt
+        What it asks.
+    version : int
+        Oldest version of its adapter that will do.
+    failure_domain : str
+        Where this process is.
+    popularity : float
+        Requests a second for the adapter, over all processes.
+    awaited_replica : str or None
+        Id of the replica where it waits for the adapter already.
+    """
+
+    prompt: Prompt
+    version: int
+    failure_domain: str
+    popularity: float
+    awaited_replica: str | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Choice:
     """Where a request goes.
@@ -113,7 +138,7 @@
     return min(candidates, key=count_cost)
 
 
-def choose_engine(candidates, prompt, version, failure_domain, kept_tokens, popularity):
+def choose_engine(candidates, need, kept_tokens):
     """Return the Choice of the engine that begins first, or None.
 
     Answers a skewed popularity of adapters: one that is asked for seldom stays at
@@ -124,23 +149,18 @@
     ----------
     candidates : list of Candidate
         Those of the service.
-    prompt : Prompt
-        What the request asks.
-    version : int
-        Oldest version of the adapter that will do.
-    failure_domain : str
-        Where this process is.
+    need : EngineNeed
+        What the request needs.
     kept_tokens : callable
         Returns the tokens of the prompt that a replica (by id) has read already.
-    popularity : float
-        Requests a second for the adapter, over all processes.
     """
     best = None
+    prompt, version = need.prompt, need.version
     adapter = prompt.target.adapter
     key = f"{prompt.target.model}/{adapter}"
     usable = [each for each in candidates if each.held is not None]
     is_held = any(_has_adapter(each, adapter, version) for each in usable)
-    load_cost = LOAD_COST + (SPREAD_COST / (1 + popularity) if is_held else 0.0)
+    load_cost = LOAD_COST + (SPREAD_COST / (1 + need.popularity) if is_held else 0.0)
     for rank, each in enumerate(rank_replicas(key, usable)):
         must_load = adapter is not None and not _holds(each, adapter, version)
         if must_load and not each.can_load:
@@ -149,19 +169,23 @@
         wait = each.load.predict_wait(tokens).total_seconds()
         cost = wait + rank * RANK_COST
         cost += RUNNING_COST * (each.load.in_flight + each.load.others_in_flight)
-        if each.record.failure_domain != failure_domain:
+        if each.record.failure_domain != need.failure_domain:
             cost += DOMAIN_COST
         if must_load:
-            cost += _count_load_cost(each, prompt.target, version, load_cost)
+            cost += _count_load_cost(each, need, load_cost)
         if best is None or cost < best[0]:
             best = (cost, Choice(each, timedelta(seconds=wait), must_load))
     return None if best is None else best[1]
 
 
-def _count_load_cost(candidate, target, version, load_cost):
+def _count_load_cost(candidate, need, load_cost):
     """Return the seconds that loading an adapter at a replica costs."""
+    target, version = need.prompt.target, need.version
     if candidate.pending.get(target.adapter, -1) >= version:
         return PENDING_COST
+    if candidate.record.id == need.awaited_replica:
+        # Its place in the queue there is ahead of those that come later.
+        return PENDING_COST
     ahead = max(len(candidate.pending), candidate.wanted_adapters)
     queued = LOAD_COST * (ahead // LOADS_AT_ONCE)
     if candidate.copied.get(target, -1) >= version:
--- a/libs/gateway/tests/test_decisions.py
+++ b/libs/gateway/tests/test_decisions.py
@@ -6,7 +6,12 @@
 from balsamspoke_gateway.exceptions import OverLimit, UnknownRoute
 from balsamspoke_gateway.health import FIRST_PAUSE, ReplicaHealth
 from balsamspoke_gateway.loads import ReplicaLoad
-from balsamspoke_gateway.placement import Candidate, choose_engine, choose_plain
+from balsamspoke_gateway.placement import (
+    Candidate,
+    EngineNeed,
+    choose_engine,
+    choose_plain,
+)
 from balsamspoke_gateway.quotas import PeerUsage, QuotaTolerance, TeamQuotas
 from balsamspoke_gateway.replicas import RETURN_GRACE, ReplicaDirectory
 from balsamspoke_gateway.requests import AdapterName, Prompt
@@ -216,10 +221,9 @@
         others.setdefault("can_load", True)
         return Candidate(record, load or ReplicaLoad(), adapters, **others)
 
-    def choose(self, candidates, version=0, popularity=10.0):
-        return choose_engine(
-            candidates, self.PROMPT, version, "north", lambda _: 0, popularity
-        )
+    def choose(self, candidates, version=0, popularity=10.0, awaited=None):
+        need = EngineNeed(self.PROMPT, version, "north", popularity, awaited)
+        return choose_engine(candidates, need, lambda _: 0)
 
     def test_prefers_a_replica_that_holds_the_adapter(self):
         choice = self.choose([self.make("a", {}), self.make("b", {"a1": 1})])
@@ -270,6 +274,19 @@
         short = self.make(first, {}, wanted_adapters=3)
         self.assertEqual(self.choose([short, *others]).candidate.record.id, first)
 
+    def test_goes_on_waiting_where_its_load_is_queued(self):
+        # Load pattern: loads queue for longer than requests wait patiently; each
+        # that left was loaded at several replicas, which lengthened all queues.
+        queued = self.make("a", {}, wanted_adapters=12)
+        free = self.make("b", {}, wanted_adapters=4)
+        chosen = self.choose([queued, free], awaited="a")
+        self.assertEqual(chosen.candidate.record.id, "a")
+        chosen = self.choose([queued, free])
+        self.assertEqual(chosen.candidate.record.id, "b")
+        held = self.make("b", {"a1": 1})
+        chosen = self.choose([queued, held], awaited="a")
+        self.assertEqual(chosen.candidate.record.id, "b")
+
     def test_takes_no_older_version(self):
         choice = self.choose([self.make("b", {"a1": 1})], version=2)
         self.assertTrue(choice.must_load)
--- a/libs/gateway/tests/test_forwarding.py
+++ b/libs/gateway/tests/test_forwarding.py
@@ -210,6 +210,25 @@
         self.assertEqual(self.world.client.sent[0][1].adapter_version, 3)
         self.assertTrue(sink.is_finished)
 
+    def test_waits_on_at_one_replica_and_then_tries_the_other(self):
+        self.world.send("stream", adapter="a7")
+        (first,) = self.find_wanted_places()
+        self.pass_time_with_queue(first, 2.0)
+        self.assertEqual(self.find_wanted_places(), {first})
+        self.pass_time_with_queue(first, 0.3)
+        self.assertEqual(len(self.find_wanted_places()), 2)
+
+    def pass_time_with_queue(self, ip, duration):
+        """Let time pass while loads queue at the replica on a VM."""
+        for _ in range(round(duration * 10)):
+            for record in self.records:
+                wanted = 12 if record.ip == ip else 0
+                self.world.tell_state(record, {}, wanted_adapters=wanted)
+            self.world.pass_time(0.1)
+
+    def find_wanted_places(self):
+        return {ip for ip, demand in self.world.peers.sent if demand.wanted}
+
     def test_asks_for_no_older_version_than_announced(self):
         self.world.context.versions.announce("base", "a7", 5)
         for record in self.records:
