Let entry processes admit alike from a team's limit

While a team asks for all that it may, levels that once differ, as after a restart, stay apart, and only the fullest bucket admits.

PeerUsage and EntryUsage were the same type and are one now.

The test failed before (1300, 0, 0).

--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -19,7 +19,6 @@
     ReplicasListed,
 )
 from .pacing import choose_interval, choose_lifetime
-from .quotas import PeerUsage
 from .timing import sleep
 
 # Part of the time to stop sending to a leaving replica that may pass between two
@@ -34,6 +33,11 @@
 # How often the list of entry processes is looked after, and a failed write repeated.
 REGISTRY_INTERVAL = timedelta(milliseconds=600)
 
+# Part of their interval by which messages to the peers vary, so that processes that
+# were started at once do not go on telling each other at the same moment: what two
+# messages that cross tell of the limits' levels lacks what the other one tells.
+USAGE_SPREAD = 0.2
+
 _STORE = "store"
 
 
@@ -149,8 +153,7 @@
             for record in context.fleet.note_state(ip, message):
                 context.demands.note_state(record.id, message.models)
         elif isinstance(message, EntryUsage) and ip in self._peers:
-            usage = PeerUsage(message.started, message.tokens)
-            context.quotas.note_peer(ip, usage, context.clock.monotonic())
+            context.quotas.note_peer(ip, message, context.clock.monotonic())
 
     def _forget(self, result, running):
         self._open.discard(running)
@@ -294,8 +297,10 @@
 
     def _tell_peers(self):
         context = self.context
-        message = EntryUsage(self._started, dict(context.quotas.admitted))
+        now = context.clock.monotonic()
+        message = context.quotas.make_usage(self._started, now)
         for ip in self._peers:
             context.peers.send(ip, message)
         interval = choose_interval(len(self._peers))
-        context.clock.call_later(interval, self._tell_peers)
+        spread = 1 + USAGE_SPREAD * (context.draw() - 0.5)
+        context.clock.call_later(interval * spread, self._tell_peers)
--- a/libs/gateway/src/balsamspoke_gateway/messages.py
+++ b/libs/gateway/src/balsamspoke_gateway/messages.py
@@ -78,15 +78,16 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryUsage:
-    """What an entry process tells its peers: tokens admitted since its start.
+    """What an entry process tells its peers of the teams' limits.
 
     Attributes
     ----------
     started : int
         Differs between starts of the process.
-    tokens : dict
-        By team.
+    tokens, levels : dict
+        Admitted since the start, and left to admit, by team.
     """
 
     started: int
     tokens: dict[str, float] = field(default_factory=dict)
+    levels: dict[str, float] = field(default_factory=dict)
--- a/libs/gateway/src/balsamspoke_gateway/quotas.py
+++ b/libs/gateway/src/balsamspoke_gateway/quotas.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 from .exceptions import OverLimit
+from .messages import EntryUsage
 from .pacing import LEAST_LIFETIME
 
 # A peer that was not heard for this long has ended for good: longer than a VM is cut
@@ -15,6 +16,8 @@
 # Part of the tolerance that groups of processes may use while they don't hear each
 # other; the rest covers what is admitted before the silence is noticed.
 USED_TOLERANCE = 0.8
+# Part of the way to the mean of all levels that a process goes in one interval.
+LEVELLING = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,14 +45,6 @@
         return (allowed * self.part + self.tokens) / seconds
 
 
-@dataclass(frozen=True, slots=True)
-class PeerUsage:
-    """What another entry process has admitted since it started, by team."""
-
-    started: int
-    tokens: dict[str, float]
-
-
 @dataclass(frozen=True, slots=True)
 class TeamShare:
     """What one entry process may still admit of a team.
@@ -72,12 +67,18 @@
     admitted: float
 
 
+@dataclass(slots=True)
 class _Bucket:
-    __slots__ = ("level", "updated")
+    level: float
+    rate: float
+    burst: float
+    updated: timedelta
 
-    def __init__(self, level, updated):
-        self.level = level
-        self.updated = updated
+    def refill(self, now):
+        """Bring the level up to a time."""
+        gained = self.rate * (now - self.updated).total_seconds()
+        self.level = min(self.burst, self.level + gained)
+        self.updated = now
 
 
 class TeamQuotas:
@@ -90,6 +91,10 @@
     of its peers uses only its group's part of limit and tolerance, so that groups
     that are cut from each other stay within both together.
 
+    While a team asks for all that it may, buckets that differ would differ for good,
+    and the fullest alone, say that of a process that has just started, would admit
+    the team's requests. So the processes tell their levels and move to their mean.
+
     Parameters
     ----------
     tolerance : QuotaTolerance
@@ -100,6 +105,7 @@
         self._tolerance = tolerance
         self._buckets = {}
         self._admitted = {}
+        self._told = {}
         self._peers = {}
         self._heard = {}
         self._silence = LEAST_LIFETIME
@@ -109,6 +115,22 @@
         """Tokens admitted here since the start, by team."""
         return self._admitted
 
+    def make_usage(self, started, now):
+        """Return the EntryUsage to tell the peers.
+
+        Parameters
+        ----------
+        started : int
+            Differs between starts of this process.
+        now : timedelta
+            Monotonic time.
+        """
+        for bucket in self._buckets.values():
+            bucket.refill(now)
+        levels = {name: bucket.level for name, bucket in self._buckets.items()}
+        self._told = dict(self._admitted)
+        return EntryUsage(started, dict(self._admitted), levels)
+
     def take(self, team, tokens, now):
         """Admit a request of a Team that costs so many tokens.
 
@@ -145,7 +167,7 @@
         self._admitted[team.name] -= tokens
 
     def note_peer(self, peer, usage, now):
-        """Take a PeerUsage from a peer, named by its VM."""
+        """Take an EntryUsage from a peer, named by its VM."""
         self._heard[peer] = now
         last = self._peers.get(peer)
         self._peers[peer] = usage
@@ -157,6 +179,22 @@
             bucket = self._buckets.get(name)
             if bucket is not None:
                 bucket.level -= tokens - before
+        self._level_out(usage, now)
+
+    def _level_out(self, usage, now):
+        """Move the levels towards those of a peer.
+
+        Its levels lack what was admitted here since this process last told it;
+        without taking that off, both would gain tokens by each message.
+        """
+        for name, level in usage.levels.items():
+            bucket = self._buckets.get(name)
+            if bucket is None:
+                continue
+            bucket.refill(now)
+            untold = self._admitted.get(name, 0.0) - self._told.get(name, 0.0)
+            gap = level - untold - bucket.level
+            bucket.level += LEVELLING / len(self._heard) * gap
 
     def expect_peers(self, peers, silence, now):
         """Take the names of all peers that are registered.
@@ -195,9 +233,8 @@
         burst = self._find_part(now) * team.burst
         bucket = self._buckets.get(team.name)
         if bucket is None:
-            bucket = _Bucket(team.burst * FIRST_LEVEL, now)
+            bucket = _Bucket(team.burst * FIRST_LEVEL, rate, burst, now)
             self._buckets[team.name] = bucket
-        gained = rate * (now - bucket.updated).total_seconds()
-        bucket.level = min(burst, bucket.level + gained)
-        bucket.updated = now
+        bucket.rate, bucket.burst = rate, burst
+        bucket.refill(now)
         return bucket
--- a/libs/gateway/tests/test_decisions.py
+++ b/libs/gateway/tests/test_decisions.py
@@ -6,13 +6,14 @@
 from balsamspoke_gateway.exceptions import OverLimit, UnknownRoute
 from balsamspoke_gateway.health import FIRST_PAUSE, ReplicaHealth
 from balsamspoke_gateway.loads import ReplicaLoad
+from balsamspoke_gateway.messages import EntryUsage
 from balsamspoke_gateway.placement import (
     Candidate,
     EngineNeed,
     choose_engine,
     choose_plain,
 )
-from balsamspoke_gateway.quotas import PeerUsage, QuotaTolerance, TeamQuotas
+from balsamspoke_gateway.quotas import QuotaTolerance, TeamQuotas
 from balsamspoke_gateway.replicas import RETURN_GRACE, ReplicaDirectory
 from balsamspoke_gateway.requests import AdapterName, Prompt
 from balsamspoke_gateway.retries import RetryBudget
@@ -136,7 +137,7 @@
             if now - told >= seconds(0.25):
                 told = now
                 for name in names:
-                    usage = PeerUsage(1, dict(processes[name].admitted))
+                    usage = processes[name].make_usage(1, now)
                     for other in names:
                         if other != name:
                             processes[other].note_peer(name, usage, now)
@@ -185,17 +186,54 @@
     def test_takes_what_a_peer_says_off_its_own_level(self):
         quotas = TeamQuotas()
         quotas.expect_peers(["e1"], seconds(1), seconds(0))
-        quotas.note_peer("e1", PeerUsage(1, {"harbour": 0.0}), seconds(0))
+        quotas.note_peer("e1", EntryUsage(1, {"harbour": 0.0}), seconds(0))
         self.admit(quotas, 1, seconds(0))
-        quotas.note_peer("e1", PeerUsage(1, {"harbour": 500.0}), seconds(0.1))
+        quotas.note_peer("e1", EntryUsage(1, {"harbour": 500.0}), seconds(0.1))
         self.assertEqual(self.admit(quotas, 1, seconds(0.2)), 0)
 
+    def test_a_new_process_takes_no_more_than_its_part_of_a_busy_limit(self):
+        # Load pattern: a team asks for all that it may at every process, and one is
+        # restarted; its callers and the others' are served alike afterwards.
+        names = ["e0", "e1", "e2"]
+        processes = {name: self.start(name, names) for name in names}
+        served = dict.fromkeys(names, 0)
+        now = seconds(100)
+        for step in range(400):
+            now += seconds(0.05)
+            if step == 100:
+                processes["e0"] = self.start("e0", names)
+            for name in names[step % 3 :] + names[: step % 3]:
+                for _ in range(3):
+                    tokens = self.admit(processes[name], 5, now)
+                    if step >= 140:
+                        served[name] += tokens
+            if step % 4 < 3:
+                self.tell(processes, names[step % 4], step >= 100, now)
+        self.assertLess(sum(served.values()), 1.1 * 100 * 260 * 0.05)
+        mean = sum(served.values()) / 3
+        for name in names:
+            self.assertGreater(served[name], mean / 2, served)
+
+    def start(self, name, names):
+        quotas = TeamQuotas()
+        others = [each for each in names if each != name]
+        quotas.expect_peers(others, seconds(1), seconds(100))
+        return quotas
+
+    def tell(self, processes, name, is_restarted, now):
+        """Let one process tell the others; the first may have been restarted."""
+        start = 2 if is_restarted and name == "e0" else 1
+        usage = processes[name].make_usage(start, now)
+        for other, quotas in processes.items():
+            if other != name:
+                quotas.note_peer(name, usage, now)
+
     def test_a_restarted_peer_counts_from_zero(self):
         quotas = TeamQuotas()
         quotas.expect_peers(["e1"], seconds(1), seconds(0))
-        quotas.note_peer("e1", PeerUsage(1, {"harbour": 500.0}), seconds(0))
+        quotas.note_peer("e1", EntryUsage(1, {"harbour": 500.0}), seconds(0))
         self.admit(quotas, 1, seconds(0))
-        quotas.note_peer("e1", PeerUsage(2, {"harbour": 10.0}), seconds(0.1))
+        quotas.note_peer("e1", EntryUsage(2, {"harbour": 10.0}), seconds(0.1))
         self.assertEqual(self.admit(quotas, 1, seconds(0.1)), 1)
 
 
--- a/libs/gateway/tests/test_properties.py
+++ b/libs/gateway/tests/test_properties.py
@@ -9,7 +9,7 @@
 from balsamspoke_gateway.exceptions import AnswerLost, NotSent, OverLimit
 from balsamspoke_gateway.messages import EntryDemand, WantedAdapter
 from balsamspoke_gateway.ports import ReplicaControl
-from balsamspoke_gateway.quotas import PeerUsage, QuotaTolerance, TeamQuotas
+from balsamspoke_gateway.quotas import QuotaTolerance, TeamQuotas
 from balsamspoke_gateway.side import SideCore
 from hypothesis import example, given
 from hypothesis import strategies as st
@@ -91,7 +91,7 @@
 
     def tell(self):
         for name, quotas in self.processes.items():
-            usage = PeerUsage(1, dict(quotas.admitted))
+            usage = quotas.make_usage(1, self.now)
             for other, peer in self.processes.items():
                 if other != name and self.groups[other] == self.groups[name]:
                     peer.note_peer(name, usage, self.now)
