Send nothing to an entry whose VM has a newer replica

Ruled out: leaving old entries out by age, as a replica may be old and well.

An entry is passed over once its VM's side process tells of a later start.

--- a/libs/gateway/src/balsamspoke_gateway/fleet.py
+++ b/libs/gateway/src/balsamspoke_gateway/fleet.py
@@ -129,7 +129,11 @@
         """
         now = self._clock.monotonic()
         records = self.directory.list_service(service)
-        records = [each for each in records if each.id not in excluded]
+        records = [
+            each
+            for each in records
+            if each.id not in excluded and not self._is_replaced(each)
+        ]
         sound = [each for each in records if not self.health.is_avoided(each.id, now)]
         return [self._make_candidate(each, model) for each in sound or records]
 
@@ -145,6 +149,11 @@
         for replica_id in set(self._outdated) - listed:
             del self._outdated[replica_id]
 
+    def _is_replaced(self, record):
+        """Whether a later start of a replica is heard from the VM of an entry."""
+        heard = self._states.get(record.ip)
+        return heard is not None and heard.state.born > record.born
+
     def _make_candidate(self, record, model):
         load = self.find_load(record.id)
         if model is None:
--- a/libs/gateway/tests/test_forwarding.py
+++ b/libs/gateway/tests/test_forwarding.py
@@ -260,6 +260,21 @@
             self.assertIsInstance(sink.refusal, NoReplica)
         self.assertEqual(len(world.client.sent), 2)
 
+    def test_sends_nothing_to_an_entry_whose_vm_has_a_newer_replica(self):
+        # Load pattern: all machines lose power and engines start again under other
+        # ids; for seconds the store lists the old entries beside the new ones.
+        held = (HeldModel("base", 1, {"a7": 1}),)
+        world = World()
+        world.add(make_record("old", "engines", 1, models=held))
+        new = make_record("new", "engines", 1, models=(), born=2)
+        world.add(new)
+        world.tell_state(new, {})
+        world.client.script("old", Answer(421, has_run=False))
+        world.send("stream", adapter="a7")
+        self.assertEqual(world.client.sent, [])
+        world.tell_state(new, {"a7": 1})
+        self.assertEqual([name for name, _ in world.client.sent], ["new"])
+
     def test_tells_callers_to_come_back_when_the_model_is_loaded(self):
         for record in self.records:
             self.world.context.fleet.note_state(record.ip, ReplicaState(record.born))
--- a/libs/gateway/tests/world.py
+++ b/libs/gateway/tests/world.py
@@ -210,8 +210,9 @@
 def make_record(replica_id, service="plain", number=1, **others):
     models = (HeldModel(MODEL, 1, {}),) if service == "engines" else ()
     others.setdefault("models", models)
+    born = others.pop("born", 1)
     return ReplicaRecord(
-        replica_id, 1, service, f"10.0.0.{number}", 80, "north", 8, **others
+        replica_id, born, service, f"10.0.0.{number}", 80, "north", 8, **others
     )
 
 
