Split the choice of a replica from the course of a request

How far a request has come (progress), where it goes next (selection) and its course from arrival to answer (forwarding) stand apart now.

--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/progress.py
@@ -0,0 +1,38 @@
+"""How far one request has come."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+
+@dataclass(slots=True)
+class Progress:
+    """How far a request has come.
+
+    Attributes
+    ----------
+    excluded : set of str
+        Ids of replicas that it does not go to again.
+    runs, tries : int
+        Attempts that may have run, and all of them.
+    last_event : int or None
+        Id of the stream's last event that the caller has.
+    first_event_at : timedelta or None
+        When the first event went on to the caller.
+    awaited : str or None
+        Id of the replica where it last waited for an adapter in vain.
+    waits : int
+        How often it did, one time after the other.
+    """
+
+    excluded: set = field(default_factory=set)
+    runs: int = 0
+    tries: int = 0
+    last_event: int | None = None
+    first_event_at: timedelta | None = None
+    awaited: str | None = None
+    waits: int = 0
+
+    def note_wait(self, replica_id):
+        """Take note that a replica had not loaded the adapter in time."""
+        self.waits = self.waits + 1 if replica_id == self.awaited else 1
+        self.awaited = replica_id
