--- a/libs/gateway/tests/test_adapters.py
+++ b/libs/gateway/tests/test_adapters.py
@@ -74,7 +74,7 @@
         self.assertEqual(order.version, 2)
 
     def test_leaves_a_place_for_an_order_lost_before_a_restart(self):
-        # Found in scale-1 of ampet: a load that got no answer was carried out after
+        # Found on a bench day: a load that got no answer was carried out after
         # the replica had restarted and counted as many orders again, and was full.
         self.plan.note_demand("e1", want("old"), seconds(1))
         lost = self.plan.choose_order(hold(orders=7), ENGINE, seconds(1))
--- a/libs/transport/tests/test_process.py
+++ b/libs/transport/tests/test_process.py
@@ -86,7 +86,7 @@
         self.assertLess(ended, seconds(4.5))
 
     def test_waits_until_the_last_answer_is_on_its_way(self):
-        # Found in trouble-2 of Hyoga: the end of a stream was still buffered when
+        # Found on a bench day: the end of a stream was still buffered when
         # the process ended 5 ms after it.
         process, _ = self.drain(seconds(1))
         self.assertEqual(process.open_connections, 0)
