--- a/libs/ctl/src/balsamspoke_ctl/log_commands.py
+++ b/libs/ctl/src/balsamspoke_ctl/log_commands.py
@@ -36,8 +36,11 @@
 
     def format(self):
         """Return the line for people."""
+        shown = dict(self.fields)
+        if "requests" in shown:
+            shown["requests"] = f"{len(shown['requests'])} alike"
         details = " ".join(
-            f"{name}={value}" for name, value in self.fields.items() if value != ""
+            f"{name}={value}" for name, value in shown.items() if value != ""
         )
         return f"{self.time}  {self.vm}  {self.event}  {details}"
 
--- a/libs/ctl/tests/test_trace.py
+++ b/libs/ctl/tests/test_trace.py
@@ -46,6 +46,8 @@
     def test_finds_a_request_that_shares_a_line(self):
         _, documents = self.harness.run_json("trace", "r4", self.path, "--beliefs", "0")
         self.assertEqual([each["status"] for each in documents], [429])
+        _, text, _ = self.harness.run("trace", "r4", self.path, "--beliefs", "0")
+        self.assertIn("requests=2 alike", text)
 
     def test_an_unknown_request_is_said_so(self):
         code, _, problems = self.harness.run("trace", "r9", self.path)
