--- a/libs/gateway/tests/test_entry.py
+++ b/libs/gateway/tests/test_entry.py
@@ -252,6 +252,20 @@
         (after,) = self.core.list_shares()
         self.assertEqual(before.tokens_left - after.tokens_left, 90)
 
+    def test_learns_a_listed_peer_that_it_hears_while_its_own_watch_is_silent(self):
+        # Found by the soak (seed 29): the connection of a process's watch fell silent
+        # just after its start; for 20 s it took itself for alone, and three processes
+        # admitted 742 tokens a second of 300.
+        self.world.configure(1)
+        self.start()
+        self.world.pass_time(3)
+        self.store.pollers.clear()
+        self.store.write("entries", "10.0.1.2", "10.0.1.2")
+        for _ in range(10):
+            self.core.take_message("10.0.1.2", EntryUsage(1, {"harbour": 0.0}))
+            self.world.pass_time(0.2)
+        self.assertEqual(self.world.context.processes, 2)
+
     def test_a_message_of_a_process_that_is_not_listed_changes_nothing(self):
         self.world.configure(1)
         self.start()
