--- a/libs/ctl/src/balsamspoke_ctl/fleet_commands.py
+++ b/libs/ctl/src/balsamspoke_ctl/fleet_commands.py
@@ -8,7 +8,7 @@
 
 from .catalogue import make_unavailable, read_catalogue, read_object
 from .changes import decode_stored
-from .exceptions import NoSuchItem, ProcessUnreachable
+from .exceptions import CtlError, NoSuchItem, ProcessUnreachable
 from .exit_codes import ExitCode
 from .object_commands import report_wait
 from .output import format_table
@@ -34,6 +34,8 @@
 @inlineCallbacks
 def status(arguments, context):
     """Show the processes of the fleet, or what concerns a team or adapter."""
+    if arguments.metrics and not arguments.team:
+        raise CtlError("--metrics shows a team's shares; name the team by --team")
     if arguments.metrics:
         return (yield _show_shares(arguments.team, arguments.metrics, context))
     answers = yield context.fleet.ask_all("/status")
--- a/libs/ctl/tests/test_shares.py
+++ b/libs/ctl/tests/test_shares.py
@@ -37,6 +37,11 @@
         self.assertIn("10.0.0.2:9464", problems)
         self.assertIn("120.0", results)
 
+    def test_asks_for_the_team(self):
+        code, _, problems = self.harness.run("status", "--metrics", "10.0.0.1:9464")
+        self.assertEqual(code, ExitCode.USAGE)
+        self.assertIn("--team", problems)
+
     def test_an_unknown_team_is_said_so(self):
         code, _, problems = self.ask("harbour", "10.0.0.1:9464")
         self.assertEqual(code, ExitCode.NOT_FOUND)
