Look up what a decision needs once; drop what nothing calls

Cause, read in the diff: a request's admission counted the silent peers twice (once for the rate, once for the burst), and every candidate looked its replica's state up twice. A wish whose last waiter had left stayed as an empty list that each message and each state went through again. EventSplitter.drop_rest, AdapterDemands.is_waiting and keep_only had no caller.

Decisions are the same; all tests of the gateway pass but the known red one.

--- a/libs/gateway/src/balsamspoke_gateway/demands.py
+++ b/libs/gateway/src/balsamspoke_gateway/demands.py
@@ -26,8 +26,15 @@
 
     def wait_for(self, replica_id, wanted):
         """Return a Deferred of None, called back when a WantedAdapter is there."""
-        waiting = self._find(replica_id).waiting.setdefault(wanted, [])
-        waiter = Deferred(waiting.remove)
+        demand = self._find(replica_id)
+        waiting = demand.waiting.setdefault(wanted, [])
+
+        def forget(waiter):
+            waiting.remove(waiter)
+            if not waiting and demand.waiting.get(wanted) is waiting:
+                del demand.waiting[wanted]
+
+        waiter = Deferred(forget)
         waiting.append(waiter)
         return waiter
 
@@ -57,11 +64,6 @@
             if demand.running[target.adapter] <= 0:
                 del demand.running[target.adapter]
 
-    def is_waiting(self, replica_id):
-        """Whether requests wait for adapters of a replica."""
-        demand = self._replicas.get(replica_id)
-        return demand is not None and any(demand.waiting.values())
-
     def make_message(self, replica_id, load, interval):
         """Return the EntryDemand for a replica.
 
@@ -77,22 +79,14 @@
         demand = self._find(replica_id)
         in_use = demand.touched | set(demand.running)
         demand.touched.clear()
-        wanted = tuple(each for each, waiters in demand.waiting.items() if waiters)
         return EntryDemand(
-            wanted,
+            tuple(demand.waiting),
             tuple(sorted(in_use)),
             load.in_flight,
             load.unread_tokens,
             interval.total_seconds(),
         )
 
-    def keep_only(self, replica_ids):
-        """Forget the replicas that are gone."""
-        for replica_id in set(self._replicas) - set(replica_ids):
-            demand = self._replicas[replica_id]
-            if not demand.running and not any(demand.waiting.values()):
-                del self._replicas[replica_id]
-
     def _find(self, replica_id):
         demand = self._replicas.get(replica_id)
         if demand is None:
--- a/libs/gateway/src/balsamspoke_gateway/fleet.py
+++ b/libs/gateway/src/balsamspoke_gateway/fleet.py
@@ -103,11 +103,7 @@
 
         The side process tells, or, while it is not heard, the replica's entry.
         """
-        state = self.find_state(record)
-        if state is not None:
-            return state.models.get(model)
-        held = {each.name: each.adapters for each in record.models}
-        return held.get(model)
+        return _find_adapters(self.find_state(record), record, model)
 
     def find_state_age(self, record):
         """Return the age of what is known of a replica's state, or None."""
@@ -161,7 +157,7 @@
         state = self.find_state(record)
         if state is None and self._outdated.get(record.id) is record:
             return Candidate(record, load)
-        held = self.find_held(record, model)
+        held = _find_adapters(state, record, model)
         if state is None:
             return Candidate(record, load, held)
         prefix = model + "/"
@@ -185,3 +181,11 @@
                 copies.move_to_end(key)
         while len(copies) > COPIED_ADAPTERS:
             copies.popitem(last=False)
+
+
+def _find_adapters(state, record, model):
+    """Return versions of a model's adapters by name, from a state or else an entry."""
+    if state is not None:
+        return state.models.get(model)
+    held = {each.name: each.adapters for each in record.models}
+    return held.get(model)
--- a/libs/gateway/src/balsamspoke_gateway/quotas.py
+++ b/libs/gateway/src/balsamspoke_gateway/quotas.py
@@ -141,9 +141,9 @@
         """
         if team.rate <= 0:
             return
-        rate = self._find_rate(team, now)
-        bucket = self._refill(team, rate, now)
+        bucket = self._refill(team, now)
         if bucket.level <= 0:
+            rate = bucket.rate
             reason = (
                 f"team {team.name} is over its limit: {bucket.level:.0f} tokens left, "
                 f"{rate:.0f} of {team.rate:.0f} a second come back here"
@@ -154,9 +154,9 @@
 
     def describe(self, team, now):
         """Return the TeamShare of a Team that has a limit."""
-        rate = self._find_rate(team, now)
-        level = self._refill(team, rate, now).level
-        return TeamShare(team.name, level, rate, self._admitted.get(team.name, 0.0))
+        bucket = self._refill(team, now)
+        admitted = self._admitted.get(team.name, 0.0)
+        return TeamShare(team.name, bucket.level, bucket.rate, admitted)
 
     def give_back(self, team, tokens):
         """Take back an admitted request that has not run."""
@@ -224,13 +224,12 @@
         """Return the part of the rate that is this group's."""
         return 1 - self.count_silent(now) / (len(self._heard) + 1)
 
-    def _find_rate(self, team, now):
+    def _refill(self, team, now):
+        """Return the team's bucket, refilled by this group's part of the limit."""
         part = self._find_part(now)
         tolerated = USED_TOLERANCE * self._tolerance.count_rate(team)
-        return min(team.rate, part * (team.rate + tolerated))
-
-    def _refill(self, team, rate, now):
-        burst = self._find_part(now) * team.burst
+        rate = min(team.rate, part * (team.rate + tolerated))
+        burst = part * team.burst
         bucket = self._buckets.get(team.name)
         if bucket is None:
             bucket = _Bucket(team.burst * FIRST_LEVEL, rate, burst, now)
--- a/libs/gateway/src/balsamspoke_gateway/streams.py
+++ b/libs/gateway/src/balsamspoke_gateway/streams.py
@@ -34,10 +34,6 @@
         *events, self._rest = (self._rest + data).split(_EVENT_END)
         return [_read_event(event) for event in events]
 
-    def drop_rest(self):
-        """Forget the part of an event that will not be completed."""
-        self._rest = b""
-
 
 def _read_event(text):
     found = None
