Keep one piece of code for whether a dependency answers

Cause, read in the diff: StoreReachability, SideCore's own flag and time for its replica, and two pairs of callbacks in the entry core and in the adapter's side process told loss and return by the same few lines four times; SideCore and EntryCore also worked out the seconds since the last answer alike.

Reachability (a module of its own) observes loss and return itself and tells the silence; only what the entry process does at the store's return is handed in.

--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -6,19 +6,18 @@
 from twisted.internet.defer import Deferred
 
 from .configuration import CallerLimits
-from .following import Follower, StoreReachability
+from .following import Follower
 from .forwarding import Forwarding
 from .messages import EntryUsage, ReplicaState
 from .observing import (
     AdapterAnnounced,
     ConfigurationAdopted,
-    DependencyLost,
-    DependencyRegained,
     EntriesListed,
     ReplicaChanged,
     ReplicasListed,
 )
 from .pacing import choose_interval, choose_lifetime
+from .reachability import STORE, Reachability
 from .timing import sleep
 
 # Part of the time to stop sending to a leaving replica that may pass between two
@@ -38,8 +37,6 @@
 # messages that cross tell of the limits' levels lacks what the other one tells.
 USAGE_SPREAD = 0.2
 
-_STORE = "store"
-
 
 class EntryCore:
     """Serve callers' requests with what the store and the peers tell.
@@ -64,8 +61,8 @@
         self._started = started
         self._peers = {}
         self._open = set()
-        self._reachability = StoreReachability(
-            context.clock, self._note_return, self._note_loss
+        self._reachability = Reachability(
+            STORE, context.clock, context.observer, self._note_return
         )
 
     @property
@@ -98,10 +95,7 @@
     @property
     def store_silence(self):
         """Seconds since the store has last answered; None if it never has."""
-        last = self._reachability.last_answer
-        if last is None:
-            return None
-        return (self.context.clock.monotonic() - last).total_seconds()
+        return self._reachability.silence
 
     def count_replicas(self):
         """Return how many replicas are known."""
@@ -193,10 +187,6 @@
 
     def _note_return(self):
         self.context.fleet.directory.note_return(self.context.clock.monotonic())
-        self.context.observer.observe(DependencyRegained(_STORE))
-
-    def _note_loss(self, error):
-        self.context.observer.observe(DependencyLost(_STORE, str(error)))
 
     def _take_configurations(self, page, is_list):
         context = self.context
--- a/libs/gateway/src/balsamspoke_gateway/following.py
+++ b/libs/gateway/src/balsamspoke_gateway/following.py
@@ -37,38 +37,6 @@
     revision: int
 
 
-class StoreReachability:
-    """Whether the store answers this process.
-
-    Parameters
-    ----------
-    clock : Clock
-        Dates the changes.
-    on_return, on_loss : callable
-        Called without arguments when the store answers again, or no more.
-    """
-
-    def __init__(self, clock, on_return, on_loss):
-        self._clock = clock
-        self._on_return = on_return
-        self._on_loss = on_loss
-        self.is_reached = True
-        self.last_answer = None
-
-    def note_answer(self):
-        """Take note that the store has answered."""
-        self.last_answer = self._clock.monotonic()
-        if not self.is_reached:
-            self.is_reached = True
-            self._on_return()
-
-    def note_failure(self, error):
-        """Take note that a call has failed with an exception."""
-        if self.is_reached:
-            self.is_reached = False
-            self._on_loss(error)
-
-
 class Follower:
     """Follow all records of one kind: list once, then watch.
 
@@ -78,8 +46,8 @@
         Lists and watches the kind.
     clock : Clock
         For pauses.
-    reachability : StoreReachability
-        Told of each answer and failure.
+    reachability : Reachability
+        The store's; told of each answer and failure.
     on_list, on_change : callable
         Called with a RecordPage of all records, or of changes.
     pause : timedelta
--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/reachability.py
@@ -0,0 +1,53 @@
+"""Whether a dependency answers this process."""
+
+from .observing import DependencyLost, DependencyRegained
+
+STORE = "store"
+"""Name of the platform's store in what is told of it."""
+
+
+class Reachability:
+    """Whether a dependency answers; tells when it is lost and regained.
+
+    Parameters
+    ----------
+    name : str
+        Of the dependency.
+    clock : Clock
+        Dates the answers.
+    observer : Observer
+        Told of each change.
+    on_return : callable or None
+        Called without arguments when the dependency answers again.
+    """
+
+    def __init__(self, name, clock, observer, on_return=None):
+        self._name = name
+        self._clock = clock
+        self._observer = observer
+        self._on_return = on_return
+        self._is_reached = True
+        self._last_answer = None
+
+    @property
+    def silence(self):
+        """Seconds since the last answer; None if there was none yet."""
+        if self._last_answer is None:
+            return None
+        return (self._clock.monotonic() - self._last_answer).total_seconds()
+
+    def note_answer(self):
+        """Take note that the dependency has answered."""
+        self._last_answer = self._clock.monotonic()
+        if self._is_reached:
+            return
+        self._is_reached = True
+        if self._on_return is not None:
+            self._on_return()
+        self._observer.observe(DependencyRegained(self._name))
+
+    def note_failure(self, error):
+        """Take note that a call has failed with an exception."""
+        if self._is_reached:
+            self._is_reached = False
+            self._observer.observe(DependencyLost(self._name, str(error)))
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -8,8 +8,9 @@
 from .adapters import AdapterPlan
 from .exceptions import AttemptError
 from .messages import EntryDemand, ReplicaState
-from .observing import DependencyLost, DependencyRegained, OrderGiven
+from .observing import OrderGiven
 from .pacing import LEAST_INTERVAL, choose_interval
+from .reachability import Reachability
 
 # How often the replica is asked for its state; the call is free on its own VM.
 REPORT_INTERVAL = timedelta(milliseconds=150)
@@ -55,17 +56,14 @@
         self._find_engine = find_engine
         self._plan = AdapterPlan()
         self._report = None
-        self._reported_at = None
-        self._is_reached = True
+        self._reachability = Reachability(_REPLICA, clock, observer)
         self._last_sent = {}
         self._urgent = None
 
     @property
     def report_age(self):
         """Seconds since the replica has last told its state; None if it never has."""
-        if self._reported_at is None:
-            return None
-        return (self._clock.monotonic() - self._reported_at).total_seconds()
+        return self._reachability.silence
 
     def start(self):
         """Begin; return the running Deferred."""
@@ -105,10 +103,9 @@
         try:
             self._report = await self._replica.read_report()
         except AttemptError as error:
-            self._note_loss(error)
+            self._reachability.note_failure(error)
             return False
-        self._reported_at = self._clock.monotonic()
-        self._note_return()
+        self._reachability.note_answer()
         self._tell_entries()
         engine = self._find_engine()
         if engine is None:
@@ -180,13 +177,3 @@
             >= each.version
             for each in demand.wanted
         )
-
-    def _note_loss(self, error):
-        if self._is_reached:
-            self._is_reached = False
-            self._observer.observe(DependencyLost(_REPLICA, str(error)))
-
-    def _note_return(self):
-        if not self._is_reached:
-            self._is_reached = True
-            self._observer.observe(DependencyRegained(_REPLICA))
