Keep one sleep: waiting and time limits move to types

Cause: the change wrote timing.sleep beside routing's waits.sleep and ctl's pause, which wait on the clock port by the same lines; it lay in gateway, where neither looks for it. It stands beside the clock port now and serves all three (and limit with it). Cancelled sleeps also end their timer, which before only gateway's did.

--- a/libs/ctl/src/balsamspoke_ctl/fleet.py
+++ b/libs/ctl/src/balsamspoke_ctl/fleet.py
@@ -9,10 +9,10 @@
 from balsamspoke_platform import HttpFailure
 from balsamspoke_types.exceptions import VmListUnavailable
 from balsamspoke_types.ports import VmState
+from balsamspoke_types.timing import sleep
 from twisted.internet.defer import DeferredList, DeferredSemaphore, inlineCallbacks
 
 from .exceptions import NotInForce, PlatformUnavailable, ProcessUnreachable
-from .pauses import pause
 
 ASK_TIMEOUT = timedelta(seconds=2)
 POLL_INTERVAL = timedelta(milliseconds=500)
@@ -149,7 +149,7 @@
                 return answers
             if self._clock.monotonic() >= deadline:
                 raise NotInForce(_describe_behind(revision, behind))
-            yield pause(self._clock, POLL_INTERVAL)
+            yield sleep(self._clock, POLL_INTERVAL)
 
     @inlineCallbacks
     def _ask(self, vm, path):
--- a/libs/ctl/src/balsamspoke_ctl/writing.py
+++ b/libs/ctl/src/balsamspoke_ctl/writing.py
@@ -10,6 +10,7 @@
     VersionConflict,
     WriteOutcomeUnknown,
 )
+from balsamspoke_types.timing import sleep
 from twisted.internet.defer import inlineCallbacks
 
 from .catalogue import make_unavailable
@@ -21,7 +22,6 @@
     read_operation,
 )
 from .exceptions import PlatformUnavailable, WriteConflict, WriteUnsettled
-from .pauses import pause
 
 SETTLE_INTERVAL = timedelta(seconds=1)
 
@@ -124,7 +124,7 @@
                 raise make_unavailable(error) from error
             if self._clock.monotonic() >= deadline:
                 raise WriteUnsettled(change.kind, change.name, failure) from failure
-            yield pause(self._clock, SETTLE_INTERVAL)
+            yield sleep(self._clock, SETTLE_INTERVAL)
 
     @inlineCallbacks
     def _put(self, change, operation):
--- a/libs/gateway/src/balsamspoke_gateway/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/attempt.py
@@ -1,5 +1,6 @@
 """One attempt of a request at one replica."""
 
+from balsamspoke_types.timing import limit
 from twisted.internet.defer import CancelledError
 
 from .exceptions import (
@@ -13,7 +14,6 @@
 )
 from .requests import ReplicaRequest
 from .streams import EventSplitter
-from .timing import limit
 
 _FIRST_SERVER_ERROR = 500
 
--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from balsamspoke_types.exceptions import StoreUnavailable
+from balsamspoke_types.timing import sleep
 from twisted.internet.defer import Deferred
 
 from .configuration import CallerLimits
@@ -18,7 +19,6 @@
 )
 from .pacing import choose_interval, choose_lifetime
 from .reachability import STORE, Reachability
-from .timing import sleep
 
 # Part of the time to stop sending to a leaving replica that may pass between two
 # reads of replica changes: replicas write about once a second each, and each read is
--- a/libs/gateway/src/balsamspoke_gateway/following.py
+++ b/libs/gateway/src/balsamspoke_gateway/following.py
@@ -4,8 +4,7 @@
 from datetime import timedelta
 
 from balsamspoke_types.exceptions import StoreUnavailable, WatchExpired
-
-from .timing import sleep
+from balsamspoke_types.timing import sleep
 
 # Pause after a failed call, doubled up to the longest: calls are paid for, also
 # refused ones, and the store's rate is shared.
--- a/libs/gateway/src/balsamspoke_gateway/selection.py
+++ b/libs/gateway/src/balsamspoke_gateway/selection.py
@@ -2,6 +2,8 @@
 
 from datetime import timedelta
 
+from balsamspoke_types.timing import limit
+
 from .demands import want_adapter
 from .exceptions import (
     NO_DELAY,
@@ -12,7 +14,6 @@
     TimedOut,
 )
 from .placement import Choice, EngineNeed, choose_engine, choose_plain
-from .timing import limit
 
 # A caller that is refused for want of capacity comes back after about this long.
 BUSY_RETRY_AFTER = timedelta(milliseconds=300)
--- a/libs/routing/src/balsamspoke_routing/ledger.py
+++ b/libs/routing/src/balsamspoke_routing/ledger.py
@@ -12,6 +12,7 @@
     WriteOutcomeUnknown,
 )
 from balsamspoke_types.objects import Kind
+from balsamspoke_types.timing import sleep
 from twisted.internet.defer import inlineCallbacks
 
 from .claims import (
@@ -30,7 +31,6 @@
     name_record,
 )
 from .settings import LedgerSettings
-from .waits import sleep
 
 
 class IdempotencyLedger:
--- a/libs/routing/src/balsamspoke_routing/sweeper.py
+++ b/libs/routing/src/balsamspoke_routing/sweeper.py
@@ -6,12 +6,12 @@
 import orjson
 from balsamspoke_types.exceptions import ObjectNotFound, StoreError
 from balsamspoke_types.objects import Kind
+from balsamspoke_types.timing import sleep
 from twisted.internet.defer import inlineCallbacks
 
 from .exceptions import RecordMalformed
 from .records import IdempotencyRecord
 from .settings import LedgerSettings
-from .waits import sleep
 
 TURN_NAME = ".sweep"
 
--- a/libs/transport/src/balsamspoke_transport/calls.py
+++ b/libs/transport/src/balsamspoke_transport/calls.py
@@ -1,6 +1,6 @@
 """Small calls whose whole answer is read before it is used."""
 
-from balsamspoke_gateway.timing import limit
+from balsamspoke_types.timing import limit
 
 from .exceptions import ReplyBroken
 from .http_requests import HttpRequest
--- a/libs/transport/src/balsamspoke_transport/process.py
+++ b/libs/transport/src/balsamspoke_transport/process.py
@@ -3,7 +3,7 @@
 import signal
 from datetime import timedelta
 
-from balsamspoke_gateway.timing import sleep
+from balsamspoke_types.timing import sleep
 from loguru import logger
 from twisted.internet.defer import Deferred
 
--- a/libs/gateway/src/balsamspoke_gateway/timing.py
+++ b/libs/types/src/balsamspoke_types/timing.py
@@ -1,4 +1,4 @@
-"""Time limits of Deferreds, on a Clock."""
+"""Waiting and time limits of Deferreds, on a Clock."""
 
 from datetime import timedelta
 
