Keep one piece for counting and timing events

Cause: the gateway's MetricsObserver was written beside the daemon's: the same provider with its reader and views, the same hand-out of events to what measures them, the same counter of all others and the same page text; two gauges differed in one expression.

EventMeter (transport, below both) holds that; each observer keeps its instruments and what it does with its events.

--- a/libs/daemon/src/balsamspoke_daemon/metrics.py
+++ b/libs/daemon/src/balsamspoke_daemon/metrics.py
@@ -2,11 +2,7 @@
 
 from balsamspoke_node import Observer, RequestEnded, TokensGap
 from balsamspoke_replica import LoadEnded, RequestRefused, RequestStarted
-from balsamspoke_transport.team_labels import TeamLabels
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
-from prometheus_client import REGISTRY, generate_latest
+from balsamspoke_transport.meters import EventMeter
 
 SECONDS_BUCKETS = (
     0.005, 0.01, 0.02, 0.03, 0.042, 0.06, 0.1, 0.15, 0.25,
@@ -15,20 +11,15 @@
 TOKENS_BUCKETS = (1, 4, 16, 64, 256, 1024, 4096)
 
 
-class MetricsObserver(Observer):
+class MetricsObserver(EventMeter, Observer):
     """Count and time what happens, for each team and class."""
 
     def __init__(self):
-        seconds = ExplicitBucketHistogramAggregation(SECONDS_BUCKETS)
-        tokens = ExplicitBucketHistogramAggregation(TOKENS_BUCKETS)
-        provider = MeterProvider(
-            metric_readers=[PrometheusMetricReader()],
-            views=[
-                View(instrument_name="*_seconds", aggregation=seconds),
-                View(instrument_name="*_tokens", aggregation=tokens),
-            ],
+        super().__init__(
+            {"*_seconds": SECONDS_BUCKETS, "*_tokens": TOKENS_BUCKETS},
+            "Other events by name.",
         )
-        meter = provider.get_meter("balsamspoke")
+        meter = self.meter
         self._first_token = meter.create_histogram(
             "balsamspoke_first_token_seconds", description="Arrival to first token."
         )
@@ -51,43 +42,29 @@
         self._refusals = meter.create_counter(
             "balsamspoke_refusals", description="Refused requests by cause."
         )
-        self._events = meter.create_counter(
-            "balsamspoke_events", description="Other events by name."
-        )
-        self._labels = TeamLabels()
-        self._handlers = {
-            TokensGap: self._note_gap,
-            RequestEnded: self._note_end,
-            RequestStarted: self._note_start,
-            RequestRefused: self._note_refusal,
-            LoadEnded: self._note_load,
-        }
-
-    def observe(self, event):
-        """Take an event."""
-        handle = self._handlers.get(type(event))
-        if handle is not None:
-            handle(event)
-        else:
-            self._events.add(1, {"event": type(event).__name__})
+        self.measure(TokensGap, self._note_gap)
+        self.measure(RequestEnded, self._note_end)
+        self.measure(RequestStarted, self._note_start)
+        self.measure(RequestRefused, self._note_refusal)
+        self.measure(LoadEnded, self._note_load)
 
     def _note_gap(self, event):
-        labels = {"team": self._labels.find(event.team)}
+        labels = {"team": self.labels.find(event.team)}
         self._between_tokens.record(event.gap.total_seconds(), labels)
 
     def _note_start(self, event):
-        labels = {"team": self._labels.find(event.team)}
+        labels = {"team": self.labels.find(event.team)}
         self._queue.record(event.waited.total_seconds(), labels)
 
     def _note_refusal(self, event):
-        labels = {"team": self._labels.find(event.team), "cause": event.cause.value}
+        labels = {"team": self.labels.find(event.team), "cause": event.cause.value}
         self._refusals.add(1, labels)
 
     def _note_load(self, event):
         self._load.record(event.duration.total_seconds())
 
     def _note_end(self, event):
-        team = self._labels.find(event.team)
+        team = self.labels.find(event.team)
         labels = {"team": team, "class": event.priority.value}
         self._duration.record(event.duration.total_seconds(), labels)
         if event.first_token is not None:
@@ -96,8 +73,3 @@
         if event.refusal is not None:
             cause = event.refusal.cause.value
             self._refusals.add(1, {"team": team, "cause": cause})
-
-
-def read_metrics():
-    """Return all metrics in the Prometheus text format."""
-    return generate_latest(REGISTRY)
--- a/libs/daemon/src/balsamspoke_daemon/process.py
+++ b/libs/daemon/src/balsamspoke_daemon/process.py
@@ -22,6 +22,7 @@
     ReactorClock,
     build_agent,
 )
+from balsamspoke_transport.meters import read_metrics
 from balsamspoke_types.identifiers import ProcessId
 from loguru import logger
 
@@ -30,7 +31,7 @@
 from .definitions import ENTRY
 from .endpoints import RenewedCertificate, listen_http
 from .logs import LogObserver, set_up_logs
-from .metrics import MetricsObserver, read_metrics
+from .metrics import MetricsObserver
 from .peers import GrpcTransport
 from .status import describe_entry, describe_side, make_status_site
 
--- a/libs/daemon/tests/test_metrics.py
+++ b/libs/daemon/tests/test_metrics.py
@@ -1,9 +1,10 @@
 import unittest
 from datetime import timedelta
 
-from balsamspoke_daemon.metrics import MetricsObserver, read_metrics
+from balsamspoke_daemon.metrics import MetricsObserver
 from balsamspoke_node import RequestEnded, StopStarted, TokensGap
 from balsamspoke_replica import LoadEnded, RequestStarted
+from balsamspoke_transport.meters import read_metrics
 from balsamspoke_transport.team_labels import MAXIMUM_TEAM_LABELS, OTHER_TEAMS
 from balsamspoke_types.identifiers import AdapterRef, AttemptId, ProcessId
 from balsamspoke_types.objects import PriorityClass
--- a/libs/transport/src/balsamspoke_transport/metrics.py
+++ b/libs/transport/src/balsamspoke_transport/metrics.py
@@ -6,14 +6,10 @@
     OrderGiven,
     RequestEnded,
 )
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import Observation
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
-from prometheus_client import REGISTRY, generate_latest
 
+from .meters import EventMeter, read_metrics
 from .pages import Page
-from .team_labels import TeamLabels
 
 SECONDS_BUCKETS = (
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 1.6, 2.5, 4.0, 6.3, 10.0, 20.0,
@@ -22,22 +18,12 @@
 _CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 
 
-class MetricsObserver(Observer):
-    """Count and time what happens, by team, service and outcome.
-
-    Attributes
-    ----------
-    meter : Meter
-        For gauges of the process.
-    """
+class MetricsObserver(EventMeter, Observer):
+    """Count and time what happens, by team, service and outcome."""
 
     def __init__(self):
-        seconds = ExplicitBucketHistogramAggregation(SECONDS_BUCKETS)
-        provider = MeterProvider(
-            metric_readers=[PrometheusMetricReader()],
-            views=[View(instrument_name="*_seconds", aggregation=seconds)],
-        )
-        meter = self.meter = provider.get_meter("balsamspoke")
+        super().__init__({"*_seconds": SECONDS_BUCKETS}, "Changes of what is believed.")
+        meter = self.meter
         self._durations = meter.create_histogram(
             "balsamspoke_request_seconds", description="Request to its final answer."
         )
@@ -51,47 +37,38 @@
         self._orders = meter.create_counter(
             "balsamspoke_orders", description="Orders to the replica by outcome."
         )
-        self._events = meter.create_counter(
-            "balsamspoke_events", description="Changes of what is believed."
-        )
-        self._labels = TeamLabels()
-        self._handlers = {
-            RequestEnded: self._note_request,
-            AttemptEnded: self._note_attempt,
-            OrderGiven: self._note_order,
-        }
+        self.measure(RequestEnded, self._note_request)
+        self.measure(AttemptEnded, self._note_attempt)
+        self.measure(OrderGiven, self._note_order)
 
     def add_gauge(self, name, description, read):
         """Add a gauge whose value a callable returns; None leaves it out."""
 
-        def observe(_):
+        def observe():
             value = read()
             return [] if value is None else [Observation(value)]
 
-        self.meter.create_observable_gauge(name, [observe], description=description)
+        self._add_gauge(name, description, observe)
 
     def add_team_gauge(self, name, description, read):
         """Add a gauge by team; a callable returns pairs of team and value."""
 
-        def observe(_):
+        def observe():
             # Teams beyond the bound of labels share one, whose last value shows.
             return [
-                Observation(value, {"team": self._labels.find(team)})
+                Observation(value, {"team": self.labels.find(team)})
                 for team, value in read()
             ]
 
-        self.meter.create_observable_gauge(name, [observe], description=description)
+        self._add_gauge(name, description, observe)
 
-    def observe(self, event):
-        """Take an event."""
-        handle = self._handlers.get(type(event))
-        if handle is not None:
-            handle(event)
-        else:
-            self._events.add(1, {"event": type(event).__name__})
+    def _add_gauge(self, name, description, observe):
+        self.meter.create_observable_gauge(
+            name, [lambda _: observe()], description=description
+        )
 
     def _note_request(self, event):
-        team = self._labels.find(event.team)
+        team = self.labels.find(event.team)
         labels = {"team": team, "outcome": event.outcome}
         self._durations.record(event.duration.total_seconds(), labels)
         if event.first_event is not None:
@@ -108,4 +85,4 @@
 
 def make_metrics_page():
     """Return the Page of all metrics."""
-    return Page(_OK, _CONTENT_TYPE, generate_latest(REGISTRY))
+    return Page(_OK, _CONTENT_TYPE, read_metrics())
