Mend both known red tests: a silent watch of the entries, a late suspicion

Cause 1: a process learned of its peers by its watch of the entry processes alone. Change: PeerDirectory (gateway/peers.py) holds the list; an unlisted process that is heard for a second makes the process read the list anew, at most every 2 s. A late answer to the watch no longer undoes a newer list, and a removal of the own entry that a watch shows is noticed.

Cause 2: in libs/membership a late message of a killed process, which arrived after the loss of its connection, cleared the time since which it was unanswered, so it stayed live for relay_max_age more. Change: only a connected peer's message clears it.

--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -18,6 +18,7 @@
     ReplicasListed,
 )
 from .pacing import choose_interval, choose_lifetime
+from .peers import PeerDirectory
 from .reachability import STORE, Reachability
 
 # Shortest time between two reads of replica changes, as a fraction of ``drain_time``,
@@ -57,9 +58,8 @@
         self.context = context
         self._sources = sources
         self._registry = registry
-        self._is_registered = False
         self._started = started
-        self._peers = {}
+        self._peers = PeerDirectory(context.settings.ip)
         self._running = set()
         self._reachability = Reachability(
             STORE, context.clock, context.observer, self._record_store_recovery
@@ -146,8 +146,25 @@
         if isinstance(message, ReplicaState):
             for record in context.fleet.record_state(ip, message):
                 context.demands.record_state(record.id, message.models)
-        elif isinstance(message, EntryUsage) and ip in self._peers:
-            context.quotas.record_usage(ip, message, context.clock.monotonic())
+        elif isinstance(message, EntryUsage):
+            self._receive_usage(ip, message)
+
+    def _receive_usage(self, ip, message):
+        now = self.context.clock.monotonic()
+        if ip in self._peers:
+            self.context.quotas.record_usage(ip, message, now)
+        elif self._peers.record_unlisted(ip, now):
+            self._run(self._list_peers())
+
+    async def _list_peers(self):
+        """Read the list of entry processes anew, besides the watch of its changes."""
+        try:
+            page = await self._sources.entries.list_all()
+        except StoreUnavailable as error:
+            self._reachability.record_failure(error)
+            return
+        self._reachability.record_answer()
+        self._apply_entries(page, True)
 
     def _remove_running(self, result, running):
         self._running.discard(running)
@@ -175,12 +192,12 @@
         context = self.context
         while True:
             try:
-                if not self._is_registered:
+                if not self._peers.is_registered:
                     await self._registry.register()
-                    self._is_registered = True
+                    self._peers.record_registration()
                 for ip in context.quotas.list_expired_peers(context.clock.monotonic()):
                     if ip in self._peers:
-                        await self._registry.remove(self._peers[ip])
+                        await self._registry.remove(self._peers.find_name(ip))
             except StoreUnavailable as error:
                 self._reachability.record_failure(error)
             await sleep(context.clock, REGISTRY_INTERVAL)
@@ -252,21 +269,13 @@
                     )
 
     def _apply_entries(self, page, is_full_list):
-        if is_full_list:
-            self._peers = {}
-        for change in page.changes:
-            stale = [ip for ip, name in self._peers.items() if name == change.name]
-            for ip in stale:
-                del self._peers[ip]
-            if change.record is not None:
-                self._peers[change.record] = change.name
+        if not self._peers.apply(page, is_full_list):
+            return
         context = self.context
-        own = self._peers.pop(context.settings.ip, None)
-        self._is_registered = own is not None or not is_full_list
-        context.processes = len(self._peers) + 1
-        now = context.clock.monotonic()
-        lifetime = choose_lifetime(choose_interval(len(self._peers)))
-        context.quotas.set_peers(list(self._peers), lifetime, now)
+        peers = self._peers.ips
+        context.processes = len(peers) + 1
+        lifetime = choose_lifetime(choose_interval(len(peers)))
+        context.quotas.set_peers(peers, lifetime, context.clock.monotonic())
         context.observer.observe(EntriesListed(context.processes))
 
     def _maintain_replicas(self):
@@ -302,8 +311,9 @@
         context = self.context
         now = context.clock.monotonic()
         message = context.quotas.make_usage(self._started, now)
-        for ip in self._peers:
+        peers = self._peers.ips
+        for ip in peers:
             context.peers.send(ip, message)
-        interval = choose_interval(len(self._peers))
+        interval = choose_interval(len(peers))
         jitter = 1 + USAGE_JITTER * (context.draw() - 0.5)
         context.clock.call_later(interval * jitter, self._send_usage)
--- a/libs/gateway/tests/test_entry.py
+++ b/libs/gateway/tests/test_entry.py
@@ -1,11 +1,13 @@
 import dataclasses
 import unittest
+from datetime import timedelta
 
 from balsamspoke_fakes.properties import examples
 from balsamspoke_gateway.entry import EntryCore
 from balsamspoke_gateway.exceptions import NotReady
 from balsamspoke_gateway.following import RecordChange, RecordPage
 from balsamspoke_gateway.messages import EntryUsage
+from balsamspoke_gateway.peers import PeerDirectory
 from balsamspoke_gateway.ports import EntryRegistry, RecordSource
 from balsamspoke_gateway.records import AnnouncedVersion, EntrySources
 from balsamspoke_gateway.replicas import RECOVERY_GRACE
@@ -17,6 +19,8 @@
 
 from .world import CONFIGURATION, World, make_record
 
+TICK = timedelta(seconds=0.2)
+
 
 class FakeStore:
     """Records by kind and name, with a history of changes that can be dropped.
@@ -251,6 +255,26 @@
         self.world.pass_time(4)
         self.assertIn(ip, self.store.records["entries"])
 
+    def test_registers_itself_again_when_its_watch_shows_the_removal(self):
+        self.start()
+        ip = self.world.context.settings.ip
+        self.world.pass_time(3)
+        self.store.write("entries", ip, None)
+        self.world.pass_time(4)
+        self.assertIn(ip, self.store.records["entries"])
+
+    def test_ignores_a_late_answer_to_a_watch_that_a_newer_list_has_replaced(self):
+        peers = PeerDirectory("10.0.1.1")
+        both = tuple(RecordChange(ip, ip) for ip in ("10.0.1.1", "10.0.1.2"))
+        peers.apply(RecordPage(both, 8), True)
+        peers.apply(RecordPage((RecordChange("10.0.1.2", None),), 5), False)
+        self.assertEqual(peers.ips, ["10.0.1.2"])
+
+    def test_reads_the_list_again_at_intervals_for_a_process_that_stays_unlisted(self):
+        peers = PeerDirectory("10.0.1.1")
+        reads = [peers.record_unlisted("10.0.9.9", i * TICK) for i in range(50)]
+        self.assertLessEqual(sum(reads), 5)
+
     def test_reports_admitted_tokens_to_its_peers(self):
         self.world.configure(1)
         self.add("a")
--- a/libs/membership/src/balsamspoke_membership/membership.py
+++ b/libs/membership/src/balsamspoke_membership/membership.py
@@ -315,7 +315,10 @@
             return False
         was_unresponsive = self._is_unresponsive(known)
         known.last_seen_at = self._clock.monotonic()
-        known.unanswered_since = None
+        if known.is_connected:
+            # A message that arrives after the connection was lost was delayed on its
+            # way, and doesn't show that the peer still runs.
+            known.unanswered_since = None
         return self._merge_status(known, status) or was_unresponsive
 
     def _handle_relayed_status(self, status):
--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -81,6 +81,17 @@
         self.fleet.advance(1.6)
         self.assertEqual(self.a.states()["b"], SUSPECT)
 
+    def test_late_message_of_a_lost_peer_does_not_defer_its_suspicion(self):
+        # Found by the soak (seeds 1 to 3): a killed process stayed live for 10 s, as
+        # its last message arrived after the loss of its connection.
+        b = self.fleet.processes["b"].id
+        self.fleet.kill("b")
+        self.fleet.advance(2)
+        late = Heartbeat(9, ProcessStatus(b, False, 0))
+        self.a.membership.peer_message(b, late)
+        self.fleet.advance(2)
+        self.assertEqual(self.a.states()["b"], SUSPECT)
+
     def test_killed_process_is_suspect_and_gone_with_its_vm(self):
         self.fleet.kill("b")
         self.fleet.advance(5)
