Let side processes say when a prompt may be sent, so that streams don't pause long

Ruled out: the number of running streams (pauses without reading are 30 to 60 ms at 50 streams), memory (no request was preempted), slots. Change: a prompt is offered to the side process of the replica first. It sends no more tokens within a pause limit than the replica reads in that time (measured by the entry processes on prompts that are read alone), starts urgent prompts first and late ones last, and refuses at once what can't start in time, with the wait. A lost answer is asked for again; a silent side process is passed over after three offers. The pause limit comes from the routes.

--- a/libs/gateway/src/balsamspoke_gateway/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/attempt.py
@@ -50,6 +50,7 @@
         self._load = choice.candidate.load
         self._unread_tokens = 0
         self._backlog = 0
+        self._cached_tokens = 0
         self._sent_at = None
         self._exchange = None
         self.status = 0
@@ -96,21 +97,21 @@
         if request.prompt is not None:
             self._unread_tokens = request.prompt.tokens
             self._load.unread_tokens += self._unread_tokens
+            self._cached_tokens = self._context.prefix_tracker.count_cached_tokens(
+                request.prompt, self._record.id
+            )
             self._backlog = self._load.unread_tokens + self._load.others_unread_tokens
             self._context.demands.record_start(self._record.id, request.prompt.target)
             self.version = forwarding.find_held_version(self._record)
         self._sent_at = self._context.clock.monotonic()
         self._context.fleet.health.record_try(self._record.id, self._sent_at)
         team = forwarding.team
-        priority = forwarding.route.priority
-        if team is not None and team.priority is not None:
-            priority = team.priority
         outgoing = ReplicaRequest(
             request,
             self._record.id,
             forwarding.time_left(),
             None if team is None else team.name,
-            priority if forwarding.is_stream else None,
+            forwarding.priority if forwarding.is_stream else None,
             self.version,
             forwarding.progress.last_event_id,
             forwarding.route.is_idempotent,
@@ -228,6 +229,8 @@
     def _record_first_event(self):
         waited = self._context.clock.monotonic() - self._sent_at
         self._load.record_first_event(self._backlog, waited)
-        self._release_unread_tokens()
         prompt = self._forwarding.request.prompt
+        if self._backlog == prompt.tokens:
+            self._load.record_single_prompt(prompt.tokens - self._cached_tokens, waited)
+        self._release_unread_tokens()
         self._context.prefix_tracker.record_read(prompt, self._record.id)
--- a/libs/gateway/src/balsamspoke_gateway/configuration.py
+++ b/libs/gateway/src/balsamspoke_gateway/configuration.py
@@ -64,6 +64,9 @@
         Whether requests need no key.
     is_resumable : bool
         Whether a broken stream may be resumed at another replica.
+    pause_limit : timedelta or None
+        Longest pause between a stream's events that still earns full credit; None if
+        the route states none.
     """
 
     name: str
@@ -77,6 +80,7 @@
     max_attempts: int = 1
     is_public: bool = False
     is_resumable: bool = False
+    pause_limit: timedelta | None = None
 
     @property
     def is_idempotent(self):
@@ -269,6 +273,16 @@
             raise UnknownKey
         return team
 
+    def find_pause_limit(self, service):
+        """Return the shortest pause limit of the routes to a service, or None."""
+        limits = [
+            route.pause_limit
+            for route in self.routes
+            if route.pause_limit is not None
+            and any(each.service == service for each in route.services)
+        ]
+        return min(limits, default=None)
+
     def find_service(self, name):
         """Return the Service with a name, or None."""
         return self._services_by_name.get(name)
--- a/libs/gateway/src/balsamspoke_gateway/context.py
+++ b/libs/gateway/src/balsamspoke_gateway/context.py
@@ -14,6 +14,7 @@
 from .pacing import MIN_INTERVAL
 from .popularity import AdapterPopularity
 from .ports import PeerSender, ReplicaClient
+from .prompt_offers import PromptOffers
 from .prompt_prefixes import PrefixTracker
 from .quotas import TeamQuotas
 from .retries import RetryBudget
@@ -51,6 +52,8 @@
         Prompt prefixes that replicas have read.
     popularity : AdapterPopularity
         Request rates of adapters.
+    prompt_offers : PromptOffers
+        Prompts offered to side processes.
     configuration : Configuration or None
         Configuration in force; None until the first one was read.
     processes : int
@@ -77,6 +80,7 @@
     versions: AdapterVersions = field(default_factory=AdapterVersions)
     prefix_tracker: PrefixTracker = field(default_factory=PrefixTracker)
     popularity: AdapterPopularity = field(default_factory=AdapterPopularity)
+    prompt_offers: PromptOffers = field(init=False)
     configuration: Configuration | None = None
     processes: int = 1
     demand_interval: timedelta = MIN_INTERVAL
@@ -86,6 +90,7 @@
 
     def __post_init__(self):
         self.quotas = TeamQuotas(self.settings.quota_tolerance)
+        self.prompt_offers = PromptOffers(self.clock, self.peers)
 
     def find_retry_budget(self, service):
         """Return the RetryBudget of a service; it is created on first use."""
--- a/libs/gateway/src/balsamspoke_gateway/demands.py
+++ b/libs/gateway/src/balsamspoke_gateway/demands.py
@@ -93,6 +93,7 @@
             load.in_flight,
             load.unread_tokens,
             interval.total_seconds(),
+            load.reading_time,
         )
 
     def _find(self, replica_id):
--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -9,7 +9,7 @@
 from .configuration import CallerLimits
 from .following import Follower
 from .forwarding import Forwarding
-from .messages import EntryUsage, ReplicaState
+from .messages import EntryUsage, PromptAnswer, ReplicaState
 from .observing import (
     AdapterAnnounced,
     ConfigurationAdopted,
@@ -146,6 +146,8 @@
         if isinstance(message, ReplicaState):
             for record in context.fleet.record_state(ip, message):
                 context.demands.record_state(record.id, message.models)
+        elif isinstance(message, PromptAnswer):
+            context.prompt_offers.record_answer(message)
         elif isinstance(message, EntryUsage):
             self._receive_usage(ip, message)
 
--- a/libs/gateway/src/balsamspoke_gateway/fleet.py
+++ b/libs/gateway/src/balsamspoke_gateway/fleet.py
@@ -73,6 +73,7 @@
             load = self.find_load(record.id)
             load.others_in_flight = state.others_in_flight
             load.others_unread_tokens = state.others_unread_tokens
+            load.reported_scheduled_tokens = state.scheduled_tokens
             self._record_cached_adapters(record.id, state)
         return matching
 
--- a/libs/gateway/src/balsamspoke_gateway/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -228,6 +228,13 @@
             return time_left
         return min(time_left, OVERDUE_OBJECTIVES * self.route.objective)
 
+    @property
+    def priority(self):
+        """Priority of the request; 0 is the most urgent."""
+        if self.team is not None and self.team.priority is not None:
+            return self.team.priority
+        return self.route.priority
+
     @property
     def can_repeat(self):
         """Whether the request may run again if the current attempt fails."""
--- a/libs/gateway/src/balsamspoke_gateway/messages.py
+++ b/libs/gateway/src/balsamspoke_gateway/messages.py
@@ -4,6 +4,7 @@
 """
 
 from dataclasses import dataclass, field
+from enum import Enum
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +43,9 @@
         Prompt tokens of those requests that the replica has not read yet.
     interval : float
         Seconds until the next message.
+    reading_time : float
+        Estimated seconds per token that the replica takes to read a single prompt; 0
+        before the first measurement.
     """
 
     wanted: tuple[WantedAdapter, ...] = ()
@@ -49,6 +53,76 @@
     in_flight: int = 0
     unread_tokens: int = 0
     interval: float = 0.2
+    reading_time: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class PromptOffer:
+    """A prompt that an entry process asks to send to a replica.
+
+    Attributes
+    ----------
+    number : int
+        Number of the offer, unique at the entry process.
+    tokens : int
+        Prompt tokens that the replica has to read.
+    priority : int
+        Priority of the request; 0 comes first.
+    time_to_objective : float
+        Seconds within which it has to start to meet its latency objective; negative
+        afterwards.
+    patience : float
+        Seconds within which it has to start at all.
+    """
+
+    number: int
+    tokens: int
+    priority: int
+    time_to_objective: float
+    patience: float
+
+
+@dataclass(frozen=True, slots=True)
+class PromptWithdrawal:
+    """Withdrawal of a PromptOffer whose request has ended or found another replica.
+
+    Attributes
+    ----------
+    number : int
+        Number of the offer.
+    """
+
+    number: int
+
+
+class PromptDecision(Enum):
+    """Decision of a side process on a PromptOffer.
+
+    After ``WAIT`` another answer follows.
+    """
+
+    START = "start"
+    WAIT = "wait"
+    REFUSE = "refuse"
+
+
+@dataclass(frozen=True, slots=True)
+class PromptAnswer:
+    """Answer of a side process to a PromptOffer.
+
+    Attributes
+    ----------
+    number : int
+        Number of the offer.
+    decision : PromptDecision
+        Whether the prompt may be sent now.
+    wait : float
+        Predicted seconds until it may be sent.
+    """
+
+    number: int
+    decision: PromptDecision
+    wait: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +150,10 @@
         Unread prompt tokens that the other entry processes have reported.
     interval : float
         Seconds until the next message.
+    scheduled_tokens : int
+        Prompt tokens that wait at the side process to be sent to the replica.
+    schedules_prompts : bool
+        Whether prompts are to be offered to the side process before they are sent.
     """
 
     born: int
@@ -87,6 +165,8 @@
     others_in_flight: int = 0
     others_unread_tokens: int = 0
     interval: float = 0.2
+    scheduled_tokens: int = 0
+    schedules_prompts: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/balsamspoke_gateway/selection.py
+++ b/libs/gateway/src/balsamspoke_gateway/selection.py
@@ -13,6 +13,7 @@
     Overloaded,
     TimedOut,
 )
+from .messages import PromptDecision, PromptOffer
 from .placement import Choice, EngineRequirements, choose_engine, choose_plain
 
 # Retry-after time of requests that are refused for lack of capacity.
@@ -60,11 +61,11 @@
         """
         while True:
             choice = self._choose()
-            if not choice.must_load:
-                return choice
-            if await self._wait_for_adapter(choice):
-                return choice
-            self._progress.record_adapter_timeout(choice.candidate.record.id)
+            if choice.must_load and not await self._wait_for_adapter(choice):
+                self._progress.record_adapter_timeout(choice.candidate.record.id)
+                continue
+            await self._wait_for_permission(choice)
+            return choice
 
     def _choose(self):
         prompt = self._request.prompt
@@ -143,6 +144,53 @@
             return False
         return True
 
+    async def _wait_for_permission(self, choice):
+        """Wait until the side process of a replica lets the prompt be sent.
+
+        Raises
+        ------
+        Overloaded
+            If the replica cannot read the prompt in time.
+        """
+        record, load = choice.candidate.record, choice.candidate.load
+        state = self._context.fleet.find_state(record)
+        is_needed = state is not None and state.schedules_prompts
+        if not is_needed or self._progress.possible_runs:
+            return
+        prompt = self._request.prompt
+        offer = self._make_offer(choice)
+        load.scheduled_tokens += offer.tokens
+        self._context.demands.record_start(record.id, prompt.target)
+        try:
+            offers = self._context.prompt_offers
+            answer = await offers.wait_for_permission(record.ip, offer)
+        finally:
+            load.scheduled_tokens -= offer.tokens
+            self._context.demands.record_end(record.id, prompt.target)
+        if answer is not None and answer.decision is not PromptDecision.START:
+            wait = timedelta(seconds=answer.wait)
+            raise Overloaded(
+                f"the replica cannot read the prompt within {offer.patience:.3f} s",
+                max(BUSY_RETRY_AFTER, wait),
+            )
+
+    def _make_offer(self, choice):
+        forwarding, record = self._forwarding, choice.candidate.record
+        prompt, route = self._request.prompt, forwarding.route
+        cached = self._context.prefix_tracker.count_cached_tokens(prompt, record.id)
+        tokens = max(1, prompt.tokens - cached)
+        reading_time = tokens * choice.candidate.load.seconds_per_token
+        elapsed = self._context.clock.monotonic() - forwarding.started_at
+        time_to_objective = (route.objective - elapsed).total_seconds() - reading_time
+        patience = min(forwarding.time_left(), ADMISSION_RATIO * route.objective)
+        return PromptOffer(
+            self._context.prompt_offers.make_number(),
+            tokens,
+            forwarding.priority,
+            time_to_objective,
+            patience.total_seconds(),
+        )
+
     def _make_timeout_error(self):
         if self._progress.possible_runs:
             return TimedOut("the time for the answer is over")
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -7,9 +7,11 @@
 
 from .adapters import AdapterPlan
 from .exceptions import AttemptError
-from .messages import EntryDemand, ReplicaState
+from .messages import EntryDemand, PromptOffer, PromptWithdrawal, ReplicaState
 from .observing import OrderGiven
 from .pacing import MIN_INTERVAL, choose_interval
+from .prompt_admission import PromptAdmission
+from .prompt_schedule import choose_pace
 from .reachability import Reachability
 
 # Interval of reading the replica's report; calls within a VM are not billed.
@@ -46,19 +48,24 @@
         Receives events on orders and on the replica's reachability.
     find_engine : callable
         Returns the EngineLimits of the replica's service; None if not known yet.
+    find_pause_limit : callable
+        Returns the longest pause between the events of the service's streams; None if
+        there is no limit or it is not known yet.
     """
 
-    def __init__(self, clock, replica, peers, observer, find_engine):
+    def __init__(self, clock, replica, peers, observer, find_engine, find_pause_limit):
         self._clock = clock
         self._replica = replica
         self._peers = peers
         self._observer = observer
         self._find_engine = find_engine
+        self._find_pause_limit = find_pause_limit
         self._plan = AdapterPlan()
         self._report = None
         self._reachability = Reachability(_REPLICA, clock, observer)
         self._last_sent = {}
         self._wakeup = None
+        self._prompts = PromptAdmission(clock, peers, self._find_pace)
 
     @property
     def report_age(self):
@@ -71,8 +78,14 @@
 
     def receive_message(self, ip, message):
         """Process a message from the entry process at an IP address."""
-        if not isinstance(message, EntryDemand):
-            return
+        if isinstance(message, PromptOffer):
+            self._prompts.receive_offer(ip, message)
+        elif isinstance(message, PromptWithdrawal):
+            self._prompts.receive_withdrawal(ip, message)
+        elif isinstance(message, EntryDemand):
+            self._receive_demand(ip, message)
+
+    def _receive_demand(self, ip, message):
         is_new = not self._plan.has_demand(ip)
         self._plan.record_demand(ip, message, self._clock.monotonic())
         if message.wanted or is_new:
@@ -84,6 +97,11 @@
             wakeup, self._wakeup = self._wakeup, None
             wakeup.cancel()
 
+    def _find_pace(self):
+        """Return the ReadingPace of the replica, or None if prompts need not wait."""
+        demands = self._plan.list_demands(self._clock.monotonic())
+        return choose_pace(self._find_pause_limit(), demands.values())
+
     async def _run(self):
         while True:
             has_sent_order = await self._step()
@@ -173,6 +191,8 @@
                 in_flight - demand.in_flight,
                 unread - demand.unread_tokens,
                 interval.total_seconds(),
+                self._prompts.pending_tokens,
+                self._prompts.is_needed,
             )
             self._peers.send(entry, state)
         for entry in set(self._last_sent) - set(demands):
--- a/libs/gateway/tests/test_properties.py
+++ b/libs/gateway/tests/test_properties.py
@@ -271,7 +271,12 @@
         left = list(fates)
         replica = LateReplica(clock, lambda: left.pop(0) if left else "answered")
         core = SideCore(
-            clock, replica, RecordedPeers(), RecordedObserver(), lambda: self.ENGINE
+            clock,
+            replica,
+            RecordedPeers(),
+            RecordedObserver(),
+            lambda: self.ENGINE,
+            lambda: None,
         )
         core.start()
         for number, name in enumerate(names):
--- a/libs/transport/src/balsamspoke_transport/datagrams.py
+++ b/libs/transport/src/balsamspoke_transport/datagrams.py
@@ -1,6 +1,13 @@
 """Messages between the system's processes over UDP, one message per datagram."""
 
-from balsamspoke_gateway.messages import EntryDemand, EntryUsage, ReplicaState
+from balsamspoke_gateway.messages import (
+    EntryDemand,
+    EntryUsage,
+    PromptAnswer,
+    PromptOffer,
+    PromptWithdrawal,
+    ReplicaState,
+)
 from balsamspoke_gateway.ports import PeerSender
 from loguru import logger
 from msgspec import DecodeError, ValidationError, msgpack
@@ -8,7 +15,14 @@
 
 # The first byte of a datagram is the number of its message type. A number is never
 # reused for another type.
-_TYPE_NUMBERS = {EntryDemand: 1, ReplicaState: 2, EntryUsage: 3}
+_TYPE_NUMBERS = {
+    EntryDemand: 1,
+    ReplicaState: 2,
+    EntryUsage: 3,
+    PromptOffer: 4,
+    PromptWithdrawal: 5,
+    PromptAnswer: 6,
+}
 _DECODERS = {number: msgpack.Decoder(kind) for kind, number in _TYPE_NUMBERS.items()}
 
 
