Schedule prompts only where streams were seen to pause too long

Change: entry processes watch the pauses of the streams that they pass on; a side process schedules prompts while one of them has seen a pause beyond its route's limit in the last five minutes. The limit no longer comes from the configuration.

--- a/libs/gateway/src/balsamspoke_gateway/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/attempt.py
@@ -52,6 +52,7 @@
         self._backlog = 0
         self._cached_tokens = 0
         self._sent_at = None
+        self._last_event_at = None
         self._exchange = None
         self.status = 0
         self.version = None
@@ -214,6 +215,9 @@
             return
         if self._unread_tokens:
             self._record_first_event()
+        else:
+            self._record_pause()
+        self._last_event_at = self._context.clock.monotonic()
         sink = self._forwarding.sink
         if not sink.is_started:
             progress.first_event_at = self._context.clock.monotonic()
@@ -226,6 +230,15 @@
     def _is_new(event, last_event_id):
         return event.id is None or last_event_id is None or event.id > last_event_id
 
+    def _record_pause(self):
+        limit = self._forwarding.route.pause_limit
+        if limit is None:
+            return
+        now = self._context.clock.monotonic()
+        pause = now - self._last_event_at
+        service = self._forwarding.service
+        self._context.pauses.record_pause(service, pause, limit, now)
+
     def _record_first_event(self):
         waited = self._context.clock.monotonic() - self._sent_at
         self._load.record_first_event(self._backlog, waited)
--- a/libs/gateway/src/balsamspoke_gateway/configuration.py
+++ b/libs/gateway/src/balsamspoke_gateway/configuration.py
@@ -273,16 +273,6 @@
             raise UnknownKey
         return team
 
-    def find_pause_limit(self, service):
-        """Return the shortest pause limit of the routes to a service, or None."""
-        limits = [
-            route.pause_limit
-            for route in self.routes
-            if route.pause_limit is not None
-            and any(each.service == service for each in route.services)
-        ]
-        return min(limits, default=None)
-
     def find_service(self, name):
         """Return the Service with a name, or None."""
         return self._services_by_name.get(name)
--- a/libs/gateway/src/balsamspoke_gateway/demands.py
+++ b/libs/gateway/src/balsamspoke_gateway/demands.py
@@ -72,7 +72,7 @@
             if demand.running[target.adapter] <= 0:
                 del demand.running[target.adapter]
 
-    def make_message(self, replica_id, load, interval):
+    def make_message(self, replica_id, load, interval, pause_limit=None):
         """Return the EntryDemand for a replica.
 
         Parameters
@@ -83,6 +83,9 @@
             Load of the replica as seen by this process.
         interval : timedelta
             Time until the next message.
+        pause_limit : timedelta or None
+            Longest pause that the replica's streams may have, if reading prompts has
+            recently made pauses longer.
         """
         demand = self._find(replica_id)
         in_use = demand.recently_used | set(demand.running)
@@ -94,6 +97,7 @@
             load.unread_tokens,
             interval.total_seconds(),
             load.reading_time,
+            0.0 if pause_limit is None else pause_limit.total_seconds(),
         )
 
     def _find(self, replica_id):
--- a/libs/gateway/src/balsamspoke_gateway/messages.py
+++ b/libs/gateway/src/balsamspoke_gateway/messages.py
@@ -46,6 +46,9 @@
     reading_time : float
         Estimated seconds per token that the replica takes to read a single prompt; 0
         before the first measurement.
+    pause_limit : float
+        Longest pause in seconds that the streams of the service may have, if reading
+        prompts has recently made pauses longer; 0 if not.
     """
 
     wanted: tuple[WantedAdapter, ...] = ()
@@ -54,6 +57,7 @@
     unread_tokens: int = 0
     interval: float = 0.2
     reading_time: float = 0.0
+    pause_limit: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/balsamspoke_gateway/prompt_schedule.py
+++ b/libs/gateway/src/balsamspoke_gateway/prompt_schedule.py
@@ -32,25 +32,21 @@
     tokens: float
 
 
-def choose_pace(pause_limit, demands):
-    """Return the ReadingPace of a replica, or None if its streams may pause.
+def choose_pace(demands):
+    """Return the ReadingPace by the EntryDemands at a replica.
 
-    Between two events of a stream the replica must not read more tokens than it can
-    within the pause limit.
-
-    Parameters
-    ----------
-    pause_limit : timedelta or None
-        Longest pause between the events of its streams; None if there is no limit.
-    demands : iterable of EntryDemand
-        Demands of the entry processes, with their estimates of the reading speed.
+    It is None if no entry process has seen long pauses lately. Between two events of a
+    stream, the replica must not read more tokens than it can within the pause limit.
     """
-    if pause_limit is None:
+    limits = [each.pause_limit for each in demands if each.pause_limit > 0]
+    if not limits:
         return None
     measured = [each.reading_time for each in demands if each.reading_time > 0]
     reading_time = statistics.median(measured or [INITIAL_SECONDS_PER_TOKEN])
-    usable_time = USABLE_PAUSE_RATIO * pause_limit
-    return ReadingPace(pause_limit, usable_time.total_seconds() / reading_time)
+    pause_limit = min(limits)
+    return ReadingPace(
+        timedelta(seconds=pause_limit), USABLE_PAUSE_RATIO * pause_limit / reading_time
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -48,18 +48,14 @@
         Receives events on orders and on the replica's reachability.
     find_engine : callable
         Returns the EngineLimits of the replica's service; None if not known yet.
-    find_pause_limit : callable
-        Returns the longest pause between the events of the service's streams; None if
-        there is no limit or it is not known yet.
     """
 
-    def __init__(self, clock, replica, peers, observer, find_engine, find_pause_limit):
+    def __init__(self, clock, replica, peers, observer, find_engine):
         self._clock = clock
         self._replica = replica
         self._peers = peers
         self._observer = observer
         self._find_engine = find_engine
-        self._find_pause_limit = find_pause_limit
         self._plan = AdapterPlan()
         self._report = None
         self._reachability = Reachability(_REPLICA, clock, observer)
@@ -99,8 +95,7 @@
 
     def _find_pace(self):
         """Return the ReadingPace of the replica, or None if prompts need not wait."""
-        demands = self._plan.list_demands(self._clock.monotonic())
-        return choose_pace(self._find_pause_limit(), demands.values())
+        return choose_pace(self._plan.list_demands(self._clock.monotonic()).values())
 
     async def _run(self):
         while True:
--- a/libs/gateway/tests/test_prompts.py
+++ b/libs/gateway/tests/test_prompts.py
@@ -15,6 +15,7 @@
     PromptOffer,
     PromptWithdrawal,
 )
+from balsamspoke_gateway.pauses import PauseMonitor
 from balsamspoke_gateway.prompt_admission import PromptAdmission
 from balsamspoke_gateway.prompt_schedule import (
     PendingPrompt,
@@ -104,10 +105,10 @@
         # A process that has just started measures prompts as too short: it does not
         # know which parts of them the replica holds.
         demands = [EntryDemand(reading_time=each) for each in (0, 5e-6, 6e-5, 7e-5)]
-        pace = choose_pace(seconds(0.3), demands)
+        self.assertIsNone(choose_pace(demands))
+        pace = choose_pace([*demands, EntryDemand(pause_limit=0.3)])
         self.assertEqual(pace.window, seconds(0.3))
         self.assertAlmostEqual(pace.tokens, 0.95 * 0.3 / 6e-5)
-        self.assertIsNone(choose_pace(None, demands))
 
 
 class SlowEngine:
@@ -172,7 +173,8 @@
         """Return the fraction of streams with a pause beyond the limit."""
         source = random.Random(7)
         engine, schedule = SlowEngine(), PromptSchedule()
-        pace = choose_pace(seconds(self.PAUSE_LIMIT), [EntryDemand(reading_time=6e-5)])
+        demand = EntryDemand(reading_time=6e-5, pause_limit=self.PAUSE_LIMIT)
+        pace = choose_pace([demand])
         next_arrival, number = 0.0, 0
         while number < 600:
             engine.step()
@@ -194,6 +196,26 @@
         self.assertLess(self.play(use_schedule=True), 0.02)
 
 
+class PauseMonitorTests(unittest.TestCase):
+    LIMIT = seconds(0.3)
+
+    def find_limit(self, *pauses, after=1.0):
+        monitor = PauseMonitor()
+        for pause in pauses:
+            monitor.record_pause("engines", seconds(pause), self.LIMIT, seconds(0))
+        return monitor.find_limit("engines", seconds(after))
+
+    def test_prompts_need_no_pace_while_pauses_are_short(self):
+        self.assertIsNone(self.find_limit(0.1, 0.3))
+
+    def test_a_long_pause_is_remembered_for_minutes(self):
+        self.assertEqual(self.find_limit(0.35, after=200), self.LIMIT)
+        self.assertIsNone(self.find_limit(0.35, after=301))
+
+    def test_a_replica_that_hangs_says_nothing_of_the_reading(self):
+        self.assertIsNone(self.find_limit(4.0))
+
+
 class ReadingTimeTests(unittest.TestCase):
     def test_waits_behind_unknown_prompts_hardly_move_the_estimate(self):
         source = random.Random(3)
--- a/libs/gateway/tests/test_properties.py
+++ b/libs/gateway/tests/test_properties.py
@@ -271,12 +271,7 @@
         left = list(fates)
         replica = LateReplica(clock, lambda: left.pop(0) if left else "answered")
         core = SideCore(
-            clock,
-            replica,
-            RecordedPeers(),
-            RecordedObserver(),
-            lambda: self.ENGINE,
-            lambda: None,
+            clock, replica, RecordedPeers(), RecordedObserver(), lambda: self.ENGINE
         )
         core.start()
         for number, name in enumerate(names):
--- a/libs/gateway/tests/test_side.py
+++ b/libs/gateway/tests/test_side.py
@@ -73,14 +73,12 @@
         self.control = FakeControl()
         self.peers = RecordedPeers()
         self.observer = RecordedObserver()
-        self.pause_limit = None
         self.core = SideCore(
             VirtualClock(self.time),
             self.control,
             self.peers,
             self.observer,
             lambda: ENGINE,
-            lambda: self.pause_limit,
         )
         self.core.start()
         self.time.advance(seconds(1))
