Pace the prompts of a replica only after long pauses were seen there

Change: entry processes report the long pauses of their streams to the side process of the replica; three within 5 s pace that replica's prompts for a minute.

--- a/libs/gateway/src/balsamspoke_gateway/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/attempt.py
@@ -12,6 +12,7 @@
     OutcomeUnknown,
     TimedOut,
 )
+from .pauses import is_long_pause
 from .requests import ReplicaRequest
 from .streams import EventSplitter
 
@@ -234,10 +235,9 @@
         limit = self._forwarding.route.pause_limit
         if limit is None:
             return
-        now = self._context.clock.monotonic()
-        pause = now - self._last_event_at
-        service = self._forwarding.service
-        self._context.pauses.record_pause(service, pause, limit, now)
+        pause = self._context.clock.monotonic() - self._last_event_at
+        if is_long_pause(pause, limit):
+            self._context.demands.record_long_pause(self._record.id, limit)
 
     def _record_first_event(self):
         waited = self._context.clock.monotonic() - self._sent_at
--- a/libs/gateway/src/balsamspoke_gateway/context.py
+++ b/libs/gateway/src/balsamspoke_gateway/context.py
@@ -12,7 +12,6 @@
 from .fleet import Fleet
 from .observing import Observer, ProgramFailed
 from .pacing import MIN_INTERVAL
-from .pauses import PauseMonitor
 from .popularity import AdapterPopularity
 from .ports import PeerSender, ReplicaClient
 from .prompt_offers import PromptOffers
@@ -53,8 +52,6 @@
         Prompt prefixes that replicas have read.
     popularity : AdapterPopularity
         Request rates of adapters.
-    pauses : PauseMonitor
-        Services whose streams pause too long while prompts are read.
     prompt_offers : PromptOffers
         Prompts offered to side processes.
     configuration : Configuration or None
@@ -83,7 +80,6 @@
     versions: AdapterVersions = field(default_factory=AdapterVersions)
     prefix_tracker: PrefixTracker = field(default_factory=PrefixTracker)
     popularity: AdapterPopularity = field(default_factory=AdapterPopularity)
-    pauses: PauseMonitor = field(default_factory=PauseMonitor)
     prompt_offers: PromptOffers = field(init=False)
     configuration: Configuration | None = None
     processes: int = 1
@@ -110,10 +106,7 @@
     def send_demand(self, record):
         """Send the demand at a replica to its side process."""
         load = self.fleet.find_load(record.id)
-        pause_limit = self.pauses.find_limit(record.service, self.clock.monotonic())
-        message = self.demands.make_message(
-            record.id, load, self.demand_interval, pause_limit
-        )
+        message = self.demands.make_message(record.id, load, self.demand_interval)
         self.peers.send(record.ip, message)
 
     def report_bug(self, failure):
--- a/libs/gateway/src/balsamspoke_gateway/demands.py
+++ b/libs/gateway/src/balsamspoke_gateway/demands.py
@@ -1,6 +1,7 @@
 """Demand for adapters at each replica from the requests of this entry process."""
 
 from collections import Counter
+from datetime import timedelta
 
 from twisted.internet.defer import Deferred
 
@@ -12,6 +13,8 @@
         self.waiting = {}
         self.running = Counter()
         self.recently_used = set()
+        self.long_pauses = 0
+        self.pause_limit = timedelta(0)
 
 
 class AdapterDemands:
@@ -72,7 +75,14 @@
             if demand.running[target.adapter] <= 0:
                 del demand.running[target.adapter]
 
-    def make_message(self, replica_id, load, interval, pause_limit=None):
+    def record_long_pause(self, replica_id, limit):
+        """Record a stream's pause at a replica beyond the limit of its route."""
+        demand = self._find(replica_id)
+        shortest = min(limit, demand.pause_limit) if demand.long_pauses else limit
+        demand.pause_limit = shortest
+        demand.long_pauses += 1
+
+    def make_message(self, replica_id, load, interval):
         """Return the EntryDemand for a replica.
 
         Parameters
@@ -83,13 +93,12 @@
             Load of the replica as seen by this process.
         interval : timedelta
             Time until the next message.
-        pause_limit : timedelta or None
-            Longest pause that the replica's streams may have, if reading prompts has
-            recently made pauses longer.
         """
         demand = self._find(replica_id)
         in_use = demand.recently_used | set(demand.running)
         demand.recently_used.clear()
+        long_pauses, pause_limit = demand.long_pauses, demand.pause_limit
+        demand.long_pauses = 0
         return EntryDemand(
             tuple(demand.waiting),
             tuple(sorted(in_use)),
@@ -97,7 +106,8 @@
             load.unread_tokens,
             interval.total_seconds(),
             load.reading_time,
-            0.0 if pause_limit is None else pause_limit.total_seconds(),
+            long_pauses,
+            pause_limit.total_seconds(),
         )
 
     def _find(self, replica_id):
--- a/libs/gateway/src/balsamspoke_gateway/messages.py
+++ b/libs/gateway/src/balsamspoke_gateway/messages.py
@@ -46,9 +46,10 @@
     reading_time : float
         Estimated seconds per token that the replica takes to read a single prompt; 0
         before the first measurement.
+    long_pauses : int
+        Pauses of this process's streams beyond their limit since its last message.
     pause_limit : float
-        Longest pause in seconds that the streams of the service may have, if reading
-        prompts has recently made pauses longer; 0 if not.
+        The shortest of those limits in seconds.
     """
 
     wanted: tuple[WantedAdapter, ...] = ()
@@ -57,6 +58,7 @@
     unread_tokens: int = 0
     interval: float = 0.2
     reading_time: float = 0.0
+    long_pauses: int = 0
     pause_limit: float = 0.0
 
 
--- a/libs/gateway/src/balsamspoke_gateway/pauses.py
+++ b/libs/gateway/src/balsamspoke_gateway/pauses.py
@@ -1,23 +1,41 @@
-"""Pauses between the events of streams, and what they show of a service's engines."""
+"""Long pauses between the events of a replica's streams."""
 
+from collections import deque
 from dataclasses import dataclass
 from datetime import timedelta
 
-# Time for which a long pause is taken into account. It is long, as prompts are paced
-# because of an earlier long pause, and pauses stay short meanwhile.
-LONG_PAUSE_MEMORY = timedelta(minutes=5)
 # Pauses beyond this multiple of the limit come from faults, not from reading prompts.
 MAX_PAUSE_RATIO = 2.0
+# Long pauses within this time show that the replica reads too many prompts at once.
+# Reading delays all running streams, so fewer pauses have another cause.
+MIN_LONG_PAUSES = 3
+COUNTING_TIME = timedelta(seconds=5)
+# Time for which prompts are paced afterwards. It is long compared to a burst of
+# prompts, as pauses stay short meanwhile.
+PACING_TIME = timedelta(minutes=1)
 
 
-@dataclass(slots=True)
+def is_long_pause(pause, limit):
+    """Return whether a pause between two events may come from reading prompts.
+
+    Parameters
+    ----------
+    pause : timedelta
+        Time between the events.
+    limit : timedelta
+        Longest pause that the route allows.
+    """
+    return limit < pause <= MAX_PAUSE_RATIO * limit
+
+
+@dataclass(frozen=True, slots=True)
 class _LongPauses:
-    limit: timedelta
-    expires: timedelta
+    count: int
+    seen_at: timedelta
 
 
 class PauseMonitor:
-    """Detect services whose streams pause too long while prompts are read.
+    """Detect that a replica's streams pause too long while it reads prompts.
 
     An engine reads prompts in pieces between the tokens of its running streams. Whether
     a few pieces in a row exceed the pause that a route allows depends on the engine's
@@ -25,38 +43,35 @@
     """
 
     def __init__(self):
-        self._long_pauses = {}
+        self._recent = deque()
+        self._limit = None
+        self._expires = timedelta(0)
 
-    def record_pause(self, service, pause, limit, now):
-        """Record a pause between two events of a stream.
+    def record_pauses(self, count, limit, now):
+        """Record long pauses.
 
         Parameters
         ----------
-        service : str
-            Name of the service that runs the stream.
-        pause : timedelta
-            Time between the events.
+        count : int
+            Number of pauses.
         limit : timedelta
-            Longest pause that the route allows.
+            Limit that they exceeded.
         now : timedelta
             Monotonic time.
         """
-        if not limit < pause <= MAX_PAUSE_RATIO * limit:
+        while self._recent and now - self._recent[0].seen_at > COUNTING_TIME:
+            self._recent.popleft()
+        if not count:
+            return
+        self._recent.append(_LongPauses(count, now))
+        if sum(each.count for each in self._recent) < MIN_LONG_PAUSES:
             return
-        shortest = min(limit, self.find_limit(service, now) or limit)
-        self._long_pauses[service] = _LongPauses(shortest, now + LONG_PAUSE_MEMORY)
+        self._limit = min(limit, self.find_limit(now) or limit)
+        self._expires = now + PACING_TIME
 
-    def find_limit(self, service, now):
-        """Return the shortest limit that was exceeded recently, or None.
+    def find_limit(self, now):
+        """Return the limit that pauses exceeded recently (by monotonic time), or None.
 
-        Parameters
-        ----------
-        service : str
-            Name of the service.
-        now : timedelta
-            Monotonic time.
+        It is the shortest one if there are several.
         """
-        long_pauses = self._long_pauses.get(service)
-        if long_pauses is None or now >= long_pauses.expires:
-            return None
-        return long_pauses.limit
+        return self._limit if now < self._expires else None
--- a/libs/gateway/src/balsamspoke_gateway/prompt_schedule.py
+++ b/libs/gateway/src/balsamspoke_gateway/prompt_schedule.py
@@ -32,21 +32,25 @@
     tokens: float
 
 
-def choose_pace(demands):
-    """Return the ReadingPace by the EntryDemands at a replica.
+def choose_pace(pause_limit, demands):
+    """Return the ReadingPace of a replica, or None if its streams don't pause too long.
 
-    It is None if no entry process has seen long pauses lately. Between two events of a
-    stream, the replica must not read more tokens than it can within the pause limit.
+    Between two events of a stream, the replica must not read more tokens than it can
+    within the pause limit.
+
+    Parameters
+    ----------
+    pause_limit : timedelta or None
+        Limit that pauses exceeded recently.
+    demands : iterable of EntryDemand
+        Demands of the entry processes, with their measurements of the reading time.
     """
-    limits = [each.pause_limit for each in demands if each.pause_limit > 0]
-    if not limits:
+    if pause_limit is None:
         return None
     measured = [each.reading_time for each in demands if each.reading_time > 0]
     reading_time = statistics.median(measured or [INITIAL_SECONDS_PER_TOKEN])
-    pause_limit = min(limits)
-    return ReadingPace(
-        timedelta(seconds=pause_limit), USABLE_PAUSE_RATIO * pause_limit / reading_time
-    )
+    usable_time = USABLE_PAUSE_RATIO * pause_limit
+    return ReadingPace(pause_limit, usable_time.total_seconds() / reading_time)
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -10,6 +10,7 @@
 from .messages import EntryDemand, PromptOffer, PromptWithdrawal, ReplicaState
 from .observing import OrderGiven
 from .pacing import MIN_INTERVAL, choose_interval
+from .pauses import PauseMonitor
 from .prompt_admission import PromptAdmission
 from .prompt_schedule import choose_pace
 from .reachability import Reachability
@@ -61,6 +62,7 @@
         self._reachability = Reachability(_REPLICA, clock, observer)
         self._last_sent = {}
         self._wakeup = None
+        self._pauses = PauseMonitor()
         self._prompts = PromptAdmission(clock, peers, self._find_pace)
 
     @property
@@ -83,7 +85,10 @@
 
     def _receive_demand(self, ip, message):
         is_new = not self._plan.has_demand(ip)
-        self._plan.record_demand(ip, message, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._plan.record_demand(ip, message, now)
+        pause_limit = timedelta(seconds=message.pause_limit)
+        self._pauses.record_pauses(message.long_pauses, pause_limit, now)
         if message.wanted or is_new:
             self.wake()
 
@@ -95,7 +100,9 @@
 
     def _find_pace(self):
         """Return the ReadingPace of the replica, or None if prompts need not wait."""
-        return choose_pace(self._plan.list_demands(self._clock.monotonic()).values())
+        now = self._clock.monotonic()
+        demands = self._plan.list_demands(now).values()
+        return choose_pace(self._pauses.find_limit(now), demands)
 
     async def _run(self):
         while True:
