Measure the reading speed at the side process, over all entry processes

Change: entry processes report the first event of each permitted prompt; the side process takes prompts that are read in one step together and counts the lower quartile of its samples.

--- a/libs/gateway/src/balsamspoke_gateway/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/attempt.py
@@ -12,6 +12,7 @@
     OutcomeUnknown,
     TimedOut,
 )
+from .messages import PromptRead
 from .pauses import is_long_pause
 from .requests import ReplicaRequest
 from .streams import EventSplitter
@@ -47,11 +48,11 @@
     def __init__(self, forwarding, choice):
         self._forwarding = forwarding
         self._context = forwarding.context
+        self._choice = choice
         self._record = choice.candidate.record
         self._load = choice.candidate.load
         self._unread_tokens = 0
         self._backlog = 0
-        self._cached_tokens = 0
         self._sent_at = None
         self._last_event_at = None
         self._exchange = None
@@ -99,9 +100,6 @@
         if request.prompt is not None:
             self._unread_tokens = request.prompt.tokens
             self._load.unread_tokens += self._unread_tokens
-            self._cached_tokens = self._context.prefix_tracker.count_cached_tokens(
-                request.prompt, self._record.id
-            )
             self._backlog = self._load.unread_tokens + self._load.others_unread_tokens
             self._context.demands.record_start(self._record.id, request.prompt.target)
             self.version = forwarding.find_held_version(self._record)
@@ -243,7 +241,9 @@
         waited = self._context.clock.monotonic() - self._sent_at
         self._load.record_first_event(self._backlog, waited)
         prompt = self._forwarding.request.prompt
-        if self._backlog == prompt.tokens:
-            self._load.record_single_prompt(prompt.tokens - self._cached_tokens, waited)
+        if self._choice.offer_number is not None:
+            self._context.peers.send(
+                self._record.ip, PromptRead(self._choice.offer_number)
+            )
         self._release_unread_tokens()
         self._context.prefix_tracker.record_read(prompt, self._record.id)
--- a/libs/gateway/src/balsamspoke_gateway/demands.py
+++ b/libs/gateway/src/balsamspoke_gateway/demands.py
@@ -105,7 +105,6 @@
             load.in_flight,
             load.unread_tokens,
             interval.total_seconds(),
-            load.reading_time,
             long_pauses,
             pause_limit.total_seconds(),
         )
--- a/libs/gateway/src/balsamspoke_gateway/loads.py
+++ b/libs/gateway/src/balsamspoke_gateway/loads.py
@@ -14,11 +14,6 @@
 # With a smaller backlog, the time to the first event is mostly the engine's step rather
 # than the reading of prompts.
 MIN_SAMPLE_TOKENS = 1_000
-# Quantile of the times of single prompts that is taken as the engine's reading speed;
-# other prompts that this process does not know of lengthen some of them.
-READING_QUANTILE = 0.25
-# Relative step by which a sample moves that quantile.
-READING_STEP = 0.1
 
 
 @dataclass(slots=True)
@@ -41,9 +36,6 @@
         Prompt tokens of requests of this process that wait at the side process.
     reported_scheduled_tokens : int
         Prompt tokens of all processes that wait there, as the side process reported.
-    reading_time : float
-        Estimated seconds per token of a prompt that is read alone, including the
-        engine's steps for its streams; 0 before the first measurement.
     """
 
     in_flight: int = 0
@@ -53,7 +45,6 @@
     seconds_per_token: float = INITIAL_SECONDS_PER_TOKEN
     scheduled_tokens: int = 0
     reported_scheduled_tokens: int = 0
-    reading_time: float = 0.0
 
     def predict_wait(self, tokens):
         """Return the timedelta until the first event of a prompt sent now.
@@ -82,23 +73,3 @@
         sample = waited.total_seconds() / backlog
         sample = min(MAX_SECONDS_PER_TOKEN, max(MIN_SECONDS_PER_TOKEN, sample))
         self.seconds_per_token += ESTIMATE_WEIGHT * (sample - self.seconds_per_token)
-
-    def record_single_prompt(self, tokens, waited):
-        """Update ``reading_time`` from a prompt that was read alone.
-
-        Parameters
-        ----------
-        tokens : int
-            Tokens that the replica had to read.
-        waited : timedelta
-            Time from sending the prompt until the first event.
-        """
-        if tokens < MIN_SAMPLE_TOKENS:
-            return
-        sample = waited.total_seconds() / tokens
-        if not self.reading_time:
-            self.reading_time = sample
-        elif sample < self.reading_time:
-            self.reading_time *= 1 - READING_STEP * (1 - READING_QUANTILE)
-        else:
-            self.reading_time *= 1 + READING_STEP * READING_QUANTILE
--- a/libs/gateway/src/balsamspoke_gateway/messages.py
+++ b/libs/gateway/src/balsamspoke_gateway/messages.py
@@ -43,9 +43,6 @@
         Prompt tokens of those requests that the replica has not read yet.
     interval : float
         Seconds until the next message.
-    reading_time : float
-        Estimated seconds per token that the replica takes to read a single prompt; 0
-        before the first measurement.
     long_pauses : int
         Pauses of this process's streams beyond their limit since its last message.
     pause_limit : float
@@ -57,7 +54,6 @@
     in_flight: int = 0
     unread_tokens: int = 0
     interval: float = 0.2
-    reading_time: float = 0.0
     long_pauses: int = 0
     pause_limit: float = 0.0
 
@@ -88,6 +84,19 @@
     patience: float
 
 
+@dataclass(frozen=True, slots=True)
+class PromptRead:
+    """Report that the first event after a prompt that was permitted has arrived.
+
+    Attributes
+    ----------
+    number : int
+        Number of the offer.
+    """
+
+    number: int
+
+
 @dataclass(frozen=True, slots=True)
 class PromptWithdrawal:
     """Withdrawal of a PromptOffer whose request has ended or found another replica.
--- a/libs/gateway/src/balsamspoke_gateway/placement.py
+++ b/libs/gateway/src/balsamspoke_gateway/placement.py
@@ -108,11 +108,15 @@
         Predicted time to the first event once the replica holds the adapter.
     must_load : bool
         Whether the replica must load the adapter before the request is sent.
+    offer_number : int or None
+        Number of the offer by which the side process has permitted the prompt; None if
+        it was not asked.
     """
 
     candidate: Candidate
     wait: timedelta
     must_load: bool = False
+    offer_number: int | None = None
 
 
 def rank_replicas(key, candidates):
--- a/libs/gateway/src/balsamspoke_gateway/prompt_admission.py
+++ b/libs/gateway/src/balsamspoke_gateway/prompt_admission.py
@@ -3,7 +3,9 @@
 from datetime import timedelta
 
 from .messages import PromptAnswer, PromptDecision
-from .prompt_schedule import PendingPrompt, PromptSchedule
+from .pauses import PauseMonitor
+from .prompt_schedule import PendingPrompt, PromptSchedule, ReadingPace
+from .reading_speed import ReadingSpeed
 
 
 class PromptAdmission:
@@ -15,14 +17,13 @@
         Source of monotonic time and of timers.
     peers : PeerSender
         Sends the answers.
-    find_pace : callable
-        Returns the ReadingPace, or None while prompts need not wait.
     """
 
-    def __init__(self, clock, peers, find_pace):
+    def __init__(self, clock, peers):
         self._clock = clock
         self._peers = peers
-        self._find_pace = find_pace
+        self._pauses = PauseMonitor()
+        self._speed = ReadingSpeed()
         self._schedule = PromptSchedule()
         self._timer = None
 
@@ -36,6 +37,10 @@
         """Whether entry processes are to offer their prompts."""
         return self._find_pace() is not None
 
+    def record_pauses(self, count, limit):
+        """Record long pauses of the replica's streams and the limit they exceeded."""
+        self._pauses.record_pauses(count, limit, self._clock.monotonic())
+
     def receive_offer(self, ip, offer):
         """Process a PromptOffer of the entry process at an IP address."""
         now = self._clock.monotonic()
@@ -65,10 +70,22 @@
         """Process a PromptWithdrawal of the entry process at an IP address."""
         self._schedule.withdraw((ip, withdrawal.number))
 
+    def receive_read(self, ip, read):
+        """Process a PromptRead of the entry process at an IP address."""
+        self._speed.record_read((ip, read.number), self._clock.monotonic())
+
+    def _find_pace(self):
+        """Return the ReadingPace, or None while prompts need not wait."""
+        limit = self._pauses.find_limit(self._clock.monotonic())
+        if limit is None:
+            return None
+        return ReadingPace.choose(limit, self._speed.seconds_per_token)
+
     def _advance(self):
         pace, now = self._find_pace(), self._clock.monotonic()
         step = self._schedule.advance(pace, now)
         for prompt in step.started:
+            self._speed.record_sent(prompt.key, prompt.tokens, now)
             self._answer(prompt, PromptDecision.START)
         for prompt in step.refused:
             self._answer(prompt, PromptDecision.REFUSE)
--- a/libs/gateway/src/balsamspoke_gateway/prompt_schedule.py
+++ b/libs/gateway/src/balsamspoke_gateway/prompt_schedule.py
@@ -1,16 +1,14 @@
 """Schedule of the prompts that one replica reads beside its running streams."""
 
-import statistics
 from collections import OrderedDict, deque
 from dataclasses import dataclass
 from datetime import timedelta
 
 from .exceptions import NO_DELAY
-from .loads import INITIAL_SECONDS_PER_TOKEN
 
 # Fraction of the pause limit that is used for reading; the rest covers the differences
 # between estimated and real reading times.
-USABLE_PAUSE_RATIO = 0.95
+USABLE_PAUSE_RATIO = 0.88
 # Started prompts are remembered for this long, so that a repeated offer, whose answer
 # was lost, is not scheduled twice.
 STARTED_MEMORY = timedelta(seconds=2)
@@ -31,26 +29,15 @@
     window: timedelta
     tokens: float
 
+    @classmethod
+    def choose(cls, pause_limit, seconds_per_token):
+        """Return the pace at which streams keep a pause limit.
 
-def choose_pace(pause_limit, demands):
-    """Return the ReadingPace of a replica, or None if its streams don't pause too long.
-
-    Between two events of a stream, the replica must not read more tokens than it can
-    within the pause limit.
-
-    Parameters
-    ----------
-    pause_limit : timedelta or None
-        Limit that pauses exceeded recently.
-    demands : iterable of EntryDemand
-        Demands of the entry processes, with their measurements of the reading time.
-    """
-    if pause_limit is None:
-        return None
-    measured = [each.reading_time for each in demands if each.reading_time > 0]
-    reading_time = statistics.median(measured or [INITIAL_SECONDS_PER_TOKEN])
-    usable_time = USABLE_PAUSE_RATIO * pause_limit
-    return ReadingPace(pause_limit, usable_time.total_seconds() / reading_time)
+        Between two events of a stream, the replica must not read more tokens than it
+        can within the limit.
+        """
+        usable_time = USABLE_PAUSE_RATIO * pause_limit.total_seconds()
+        return cls(pause_limit, usable_time / seconds_per_token)
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/balsamspoke_gateway/selection.py
+++ b/libs/gateway/src/balsamspoke_gateway/selection.py
@@ -1,5 +1,6 @@
 """Selection of the replica for an attempt, and the wait for its adapter."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 from balsamspoke_types.timing import add_timeout
@@ -64,8 +65,7 @@
             if choice.must_load and not await self._wait_for_adapter(choice):
                 self._progress.record_adapter_timeout(choice.candidate.record.id)
                 continue
-            await self._wait_for_permission(choice)
-            return choice
+            return await self._wait_for_permission(choice)
 
     def _choose(self):
         prompt = self._request.prompt
@@ -145,7 +145,12 @@
         return True
 
     async def _wait_for_permission(self, choice):
-        """Wait until the side process of a replica lets the prompt be sent.
+        """Wait until the side process of a replica permits the prompt to be sent.
+
+        Returns
+        -------
+        Choice
+            The same choice, with the number of the offer if there was one.
 
         Raises
         ------
@@ -156,7 +161,7 @@
         state = self._context.fleet.find_state(record)
         is_needed = state is not None and state.schedules_prompts
         if not is_needed or self._progress.possible_runs:
-            return
+            return choice
         prompt = self._request.prompt
         offer = self._make_offer(choice)
         load.scheduled_tokens += offer.tokens
@@ -173,6 +178,7 @@
                 f"the replica cannot read the prompt within {offer.patience:.3f} s",
                 max(BUSY_RETRY_AFTER, wait),
             )
+        return replace(choice, offer_number=offer.number)
 
     def _make_offer(self, choice):
         forwarding, record = self._forwarding, choice.candidate.record
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -7,12 +7,16 @@
 
 from .adapters import AdapterPlan
 from .exceptions import AttemptError
-from .messages import EntryDemand, PromptOffer, PromptWithdrawal, ReplicaState
+from .messages import (
+    EntryDemand,
+    PromptOffer,
+    PromptRead,
+    PromptWithdrawal,
+    ReplicaState,
+)
 from .observing import OrderGiven
 from .pacing import MIN_INTERVAL, choose_interval
-from .pauses import PauseMonitor
 from .prompt_admission import PromptAdmission
-from .prompt_schedule import choose_pace
 from .reachability import Reachability
 
 # Interval of reading the replica's report; calls within a VM are not billed.
@@ -62,8 +66,7 @@
         self._reachability = Reachability(_REPLICA, clock, observer)
         self._last_sent = {}
         self._wakeup = None
-        self._pauses = PauseMonitor()
-        self._prompts = PromptAdmission(clock, peers, self._find_pace)
+        self._prompts = PromptAdmission(clock, peers)
 
     @property
     def report_age(self):
@@ -78,6 +81,8 @@
         """Process a message from the entry process at an IP address."""
         if isinstance(message, PromptOffer):
             self._prompts.receive_offer(ip, message)
+        elif isinstance(message, PromptRead):
+            self._prompts.receive_read(ip, message)
         elif isinstance(message, PromptWithdrawal):
             self._prompts.receive_withdrawal(ip, message)
         elif isinstance(message, EntryDemand):
@@ -85,10 +90,9 @@
 
     def _receive_demand(self, ip, message):
         is_new = not self._plan.has_demand(ip)
-        now = self._clock.monotonic()
-        self._plan.record_demand(ip, message, now)
+        self._plan.record_demand(ip, message, self._clock.monotonic())
         pause_limit = timedelta(seconds=message.pause_limit)
-        self._pauses.record_pauses(message.long_pauses, pause_limit, now)
+        self._prompts.record_pauses(message.long_pauses, pause_limit)
         if message.wanted or is_new:
             self.wake()
 
@@ -98,12 +102,6 @@
             wakeup, self._wakeup = self._wakeup, None
             wakeup.cancel()
 
-    def _find_pace(self):
-        """Return the ReadingPace of the replica, or None if prompts need not wait."""
-        now = self._clock.monotonic()
-        demands = self._plan.list_demands(now).values()
-        return choose_pace(self._pauses.find_limit(now), demands)
-
     async def _run(self):
         while True:
             has_sent_order = await self._step()
--- a/libs/gateway/tests/test_prompts.py
+++ b/libs/gateway/tests/test_prompts.py
@@ -7,12 +7,12 @@
 from balsamspoke_fakes import VirtualClock, VirtualTime
 from balsamspoke_fakes.properties import examples
 from balsamspoke_gateway.exceptions import Overloaded
-from balsamspoke_gateway.loads import ReplicaLoad
+from balsamspoke_gateway.loads import INITIAL_SECONDS_PER_TOKEN
 from balsamspoke_gateway.messages import (
-    EntryDemand,
     PromptAnswer,
     PromptDecision,
     PromptOffer,
+    PromptRead,
     PromptWithdrawal,
 )
 from balsamspoke_gateway.pauses import PauseMonitor, is_long_pause
@@ -21,12 +21,12 @@
     PendingPrompt,
     PromptSchedule,
     ReadingPace,
-    choose_pace,
 )
+from balsamspoke_gateway.reading_speed import ReadingSpeed
 from hypothesis import given
 from hypothesis import strategies as st
 
-from .world import RecordedPeers, World, make_record
+from .world import Answer, RecordedPeers, World, make_record
 
 PACE = ReadingPace(timedelta(seconds=0.3), 4_500)
 ENTRY = "10.0.1.1"
@@ -43,10 +43,6 @@
     )
 
 
-def make_offer(number, tokens, patience=1.0):
-    return PromptOffer(number, tokens, 1, 0.5, patience)
-
-
 class ScheduleTests(unittest.TestCase):
     def setUp(self):
         self.schedule = PromptSchedule()
@@ -101,14 +97,6 @@
         self.assertEqual(len(step.refused), 8)
         self.assertEqual(self.schedule.pending_tokens, 0)
 
-    def test_pace_follows_the_median_of_the_measured_reading_times(self):
-        # A process that has just started measures prompts as too short: it does not
-        # know which parts of them the replica holds.
-        demands = [EntryDemand(reading_time=each) for each in (0, 5e-6, 6e-5, 7e-5)]
-        pace = choose_pace(seconds(0.3), demands)
-        self.assertEqual(pace.window, seconds(0.3))
-        self.assertAlmostEqual(pace.tokens, 0.95 * 0.3 / 6e-5)
-
 
 class SlowEngine:
     """Engine that reads prompts in pieces between the tokens of its streams.
@@ -172,7 +160,7 @@
         """Return the fraction of streams with a pause beyond the limit."""
         source = random.Random(7)
         engine, schedule = SlowEngine(), PromptSchedule()
-        pace = choose_pace(seconds(self.PAUSE_LIMIT), [EntryDemand(reading_time=6e-5)])
+        pace = ReadingPace.choose(seconds(self.PAUSE_LIMIT), 6e-5)
         next_arrival, number = 0.0, 0
         while number < 600:
             engine.step()
@@ -219,36 +207,58 @@
         self.assertFalse(is_long_pause(seconds(4), self.LIMIT))
 
 
-class ReadingTimeTests(unittest.TestCase):
-    def test_waits_behind_unknown_prompts_hardly_move_the_estimate(self):
+class ReadingSpeedTests(unittest.TestCase):
+    def test_prompts_read_in_one_step_count_together(self):
+        # Three short prompts are read in one step of 60 ms, one after another in steps
+        # of 30 ms each: the engine can read 32 tokens in a millisecond.
+        speed = ReadingSpeed()
+        for number in range(60):
+            now = seconds(number)
+            for part in range(3):
+                speed.record_sent((number, part), 640, now)
+            for part in range(3):
+                speed.record_read((number, part), now + seconds(0.06))
+        self.assertAlmostEqual(speed.seconds_per_token, 0.06 / (3 * 640))
+
+    def test_queued_prompts_count_from_the_end_of_the_previous_one(self):
+        speed = ReadingSpeed()
+        for number in range(20):
+            speed.record_sent(number, 2_000, seconds(0))
+        for number in range(20):
+            speed.record_read(number, seconds(0.1 * (number + 1)))
+        self.assertAlmostEqual(speed.seconds_per_token, 0.1 / 2_000)
+
+    def test_a_stall_and_unknown_prompts_hardly_move_the_estimate(self):
         source = random.Random(3)
-        load = ReplicaLoad()
-        for _ in range(100):
-            is_disturbed = source.random() < 0.4
-            waited = 0.09 * (source.uniform(1.2, 3.0) if is_disturbed else 1.0)
-            load.record_single_prompt(1_500, seconds(waited))
-        self.assertAlmostEqual(load.reading_time, 0.09 / 1_500, delta=1e-5)
+        speed = ReadingSpeed()
+        for number in range(100):
+            is_disturbed = source.random() < 0.5
+            waited = 0.1 * (source.uniform(1.2, 30.0) if is_disturbed else 1.0)
+            speed.record_sent(number, 2_000, seconds(10 * number))
+            speed.record_read(number, seconds(10 * number + waited))
+        self.assertAlmostEqual(speed.seconds_per_token, 0.1 / 2_000, delta=1e-5)
 
 
 class AdmissionTests(unittest.TestCase):
     def setUp(self):
         self.time = VirtualTime()
         self.peers = RecordedPeers()
-        self.pace = PACE
-        self.admission = PromptAdmission(
-            VirtualClock(self.time), self.peers, lambda: self.pace
-        )
+        self.admission = PromptAdmission(VirtualClock(self.time), self.peers)
+        self.admission.record_pauses(3, PACE.window)
+        self.tokens = ReadingPace.choose(PACE.window, INITIAL_SECONDS_PER_TOKEN).tokens
 
-    def offer(self, *args, **others):
-        self.admission.receive_offer(ENTRY, make_offer(*args, **others))
+    def offer(self, number, part=0.9, patience=1.0):
+        """Offer a prompt that takes a part of what may be sent in a window."""
+        offer = PromptOffer(number, round(part * self.tokens), 1, 0.5, patience)
+        self.admission.receive_offer(ENTRY, offer)
 
     def list_answers(self, number):
         messages = [message for _, message in self.peers.sent]
         return [each.decision for each in messages if each.number == number]
 
     def test_answers_each_offer_at_once_and_again_when_it_may_start(self):
-        self.offer(1, 4_000)
-        self.offer(2, 4_000)
+        self.offer(1)
+        self.offer(2)
         self.assertEqual(self.list_answers(1), [PromptDecision.START])
         self.assertEqual(self.list_answers(2), [PromptDecision.WAIT])
         self.time.advance(seconds(0.31))
@@ -258,21 +268,21 @@
 
     def test_refuses_at_once_what_cannot_start_in_time(self):
         for number in range(1, 4):
-            self.offer(number, 4_000, patience=0.5)
+            self.offer(number, patience=0.5)
         self.assertEqual(self.list_answers(3), [PromptDecision.REFUSE])
         answer = self.peers.sent[-1][1]
-        self.assertAlmostEqual(answer.wait, 0.3 + 0.3 * 4_000 / 4_500, places=5)
+        self.assertAlmostEqual(answer.wait, 0.3 + 0.3 * 0.9, places=3)
 
     def test_repeats_a_lost_permission_without_counting_the_prompt_twice(self):
-        self.offer(1, 2_000)
-        self.offer(1, 2_000)
-        self.offer(2, 2_000)
+        self.offer(1, 0.4)
+        self.offer(1, 0.4)
+        self.offer(2, 0.4)
         self.assertEqual(self.list_answers(1), [PromptDecision.START] * 2)
         self.assertEqual(self.list_answers(2), [PromptDecision.START])
 
     def test_a_withdrawn_prompt_gives_way(self):
-        self.offer(1, 4_000)
-        self.offer(2, 4_000)
+        self.offer(1)
+        self.offer(2)
         self.admission.receive_withdrawal(ENTRY, PromptWithdrawal(2))
         self.time.advance(seconds(0.31))
         self.assertEqual(self.list_answers(2), [PromptDecision.WAIT])
@@ -311,6 +321,13 @@
         self.assertEqual(len(self.world.client.sent), 1)
         self.assertEqual(self.list_withdrawals(), [])
 
+    def test_reports_the_first_event_of_a_permitted_prompt(self):
+        self.world.client.script("a", Answer(pieces=[b"id:1\ndata:x\n\n"]))
+        self.world.send("stream", "a1")
+        self.answer(PromptDecision.START)
+        number = self.list_offers()[-1].number
+        self.assertIn((self.record.ip, PromptRead(number)), self.world.peers.sent)
+
     def test_refuses_at_once_and_says_when_to_return(self):
         sink, _ = self.world.send("stream", "a1")
         self.answer(PromptDecision.REFUSE, 1.5)
--- a/libs/transport/src/balsamspoke_transport/datagrams.py
+++ b/libs/transport/src/balsamspoke_transport/datagrams.py
@@ -5,6 +5,7 @@
     EntryUsage,
     PromptAnswer,
     PromptOffer,
+    PromptRead,
     PromptWithdrawal,
     ReplicaState,
 )
@@ -22,6 +23,7 @@
     PromptOffer: 4,
     PromptWithdrawal: 5,
     PromptAnswer: 6,
+    PromptRead: 7,
 }
 _DECODERS = {number: msgpack.Decoder(kind) for kind, number in _TYPE_NUMBERS.items()}
 
