--- a/libs/gateway/src/balsamspoke_gateway/context.py
+++ b/libs/gateway/src/balsamspoke_gateway/context.py
@@ -19,6 +19,7 @@
 from .quotas import TeamQuotas
 from .retries import RetryBudget
 from .settings import GatewaySettings
+from .startup import StartupGate
 from .versions import AdapterVersions
 
 
@@ -54,6 +55,8 @@
         Request rates of adapters.
     prompt_offers : PromptOffers
         Prompts offered to side processes.
+    startup : StartupGate
+        Holds requests until the process knows its configuration and replicas.
     configuration : Configuration or None
         Configuration in force; None until the first one was read.
     processes : int
@@ -81,6 +84,7 @@
     prefix_tracker: PrefixTracker = field(default_factory=PrefixTracker)
     popularity: AdapterPopularity = field(default_factory=AdapterPopularity)
     prompt_offers: PromptOffers = field(init=False)
+    startup: StartupGate = field(init=False)
     configuration: Configuration | None = None
     processes: int = 1
     demand_interval: timedelta = MIN_INTERVAL
@@ -91,6 +95,7 @@
     def __post_init__(self):
         self.quotas = TeamQuotas(self.settings.quota_tolerance)
         self.prompt_offers = PromptOffers(self.clock, self.peers)
+        self.startup = StartupGate(self.clock)
 
     def find_retry_budget(self, service):
         """Return the RetryBudget of a service; it is created on first use."""
--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -220,6 +220,7 @@
                 context.configuration = candidate
                 context.observer.observe(ConfigurationAdopted(candidate.version))
                 self._send_demands()
+                self._open_if_ready()
 
     def _apply_replicas(self, page, is_full_list):
         directory = self.context.fleet.directory
@@ -230,6 +231,7 @@
             listed = ReplicasListed(len(records), page.revision)
             self.context.observer.observe(listed)
             self._send_demands()
+            self._open_if_ready()
             return
         for change in page.changes:
             self._report_record_change(change)
@@ -237,6 +239,12 @@
                 directory.remove(change.name, now)
             else:
                 directory.put(change.record)
+        self._open_if_ready()
+
+    def _open_if_ready(self):
+        context = self.context
+        if context.configuration is not None and context.fleet.directory.list_all():
+            context.startup.open()
 
     def _report_record_change(self, change):
         previous = self.context.fleet.directory.find(change.name)
--- a/libs/gateway/src/balsamspoke_gateway/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -76,6 +76,8 @@
     async def run(self):
         """Answer the request; all errors are turned into answers."""
         try:
+            if self.context.configuration is None:
+                await self.context.startup.wait()
             self._admit()
             await self._forward()
             self._report_end(ANSWERED)
--- a/libs/gateway/tests/test_entry.py
+++ b/libs/gateway/tests/test_entry.py
@@ -12,6 +12,7 @@
 from balsamspoke_gateway.records import AnnouncedVersion, EntrySources
 from balsamspoke_gateway.replicas import RECOVERY_GRACE
 from balsamspoke_gateway.requests import AdapterName
+from balsamspoke_gateway.startup import MAX_STARTUP_WAIT
 from balsamspoke_types.exceptions import StoreUnavailable, WatchExpired
 from hypothesis import given
 from hypothesis import strategies as st
@@ -182,6 +183,7 @@
         self.start()
         self.assertFalse(self.core.is_ready)
         sink, _ = self.world.send("safe")
+        self.world.pass_time(MAX_STARTUP_WAIT.total_seconds())
         self.assertIsInstance(sink.refusal, NotReady)
         self.world.configure(1)
         self.add("a")
@@ -192,6 +194,28 @@
         self.core.context.is_stopping = True
         self.assertFalse(self.core.is_ready)
 
+    def test_serves_a_request_that_came_before_the_first_configuration(self):
+        # Load pattern: all processes are killed at once, and callers return while the
+        # new ones start. 117 callers were refused in the first 10 ms, for good.
+        self.core.start()
+        sink, _ = self.world.send("safe")
+        self.world.pass_time(0.1)
+        self.assertEqual(sink.status, 0)
+        self.world.configure(1)
+        self.assertEqual(sink.status, 0)
+        self.add("a")
+        self.world.pass_time(0.1)
+        self.assertEqual(sink.status, 200)
+
+    def test_forgets_a_caller_that_leaves_before_the_first_configuration(self):
+        self.core.start()
+        _, running = self.world.send("safe")
+        running.cancel()
+        self.world.configure(1)
+        self.add("a")
+        self.world.pass_time(1)
+        self.assertEqual(self.world.client.sent, [])
+
     def test_keeps_serving_while_the_store_is_unavailable(self):
         self.world.configure(1)
         self.add("a")
