Tell callers to return when the model is there

Callers were told to return after 0.8 to 1.6 s, found the model still loading, and were refused for good. Change: the side process predicts the wait from the load times that the configuration states (own disk, then weight store); callers return within a second after it. The constant of 0.8 s is gone.

Also, each with a test: a refund to a team that got its limit after the request was admitted no longer fails; answers have the standard reason phrase.

--- a/libs/gateway/src/balsamspoke_gateway/configuration.py
+++ b/libs/gateway/src/balsamspoke_gateway/configuration.py
@@ -109,10 +109,16 @@
         Name of the model.
     size_megabytes : float
         Memory that its weights take.
+    disk_load_time : timedelta
+        Time to load it from the replica's own disk; zero if not stated.
+    store_load_time : timedelta
+        Time to load it from the weight store; zero if not stated.
     """
 
     name: str
     size_megabytes: float
+    disk_load_time: timedelta = timedelta(0)
+    store_load_time: timedelta = timedelta(0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/balsamspoke_gateway/fleet.py
+++ b/libs/gateway/src/balsamspoke_gateway/fleet.py
@@ -91,10 +91,18 @@
         """
         self._misdirected[record.id] = record
 
-    def is_loading(self, service):
-        """Return whether a replica of a service has yet to load a model."""
+    def predict_model_wait(self, service):
+        """Return the timedelta until a replica of a service holds its model.
+
+        It is the shortest one of those that are loading; None if none is.
+        """
         states = map(self.find_state, self.directory.list_service(service))
-        return any(state is not None and not state.models for state in states)
+        waits = [
+            timedelta(seconds=state.model_wait)
+            for state in states
+            if state is not None and not state.models
+        ]
+        return min(waits, default=None)
 
     def find_state(self, record):
         """Return the recent ReplicaState of a replica, or None if there is none."""
--- a/libs/gateway/src/balsamspoke_gateway/messages.py
+++ b/libs/gateway/src/balsamspoke_gateway/messages.py
@@ -173,6 +173,8 @@
         Prompt tokens that wait at the side process to be sent to the replica.
     schedules_prompts : bool
         Whether prompts are to be offered to the side process before they are sent.
+    model_wait : float
+        Predicted seconds until the replica holds its model; 0 if it does.
     """
 
     born: int
@@ -186,6 +188,7 @@
     interval: float = 0.2
     scheduled_tokens: int = 0
     schedules_prompts: bool = False
+    model_wait: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/balsamspoke_gateway/quotas.py
+++ b/libs/gateway/src/balsamspoke_gateway/quotas.py
@@ -175,7 +175,8 @@
     def refund(self, team, tokens):
         """Return the tokens of an admitted request that has not run."""
         bucket = self._buckets.get(team.name)
-        if bucket is None:
+        if bucket is None or team.name not in self._admitted:
+            # The team had no limit when the request was admitted.
             return
         bucket.level = min(team.burst, bucket.level + tokens)
         self._admitted[team.name] -= tokens
--- a/libs/gateway/src/balsamspoke_gateway/selection.py
+++ b/libs/gateway/src/balsamspoke_gateway/selection.py
@@ -19,9 +19,9 @@
 
 # Retry-after time of requests that are refused for lack of capacity.
 BUSY_RETRY_AFTER = timedelta(milliseconds=300)
-# Approximate time to load a base model from a replica's own disk. Callers that are
-# refused meanwhile get a retry-after time of once to twice this.
-MODEL_RETRY_AFTER = timedelta(milliseconds=800)
+# Callers that are refused until a model is loaded return within this time after it. A
+# replica that has its model still has to load the adapters that they request.
+MODEL_RETRY_SPREAD = timedelta(seconds=1)
 # Time that a request waits for an adapter before it looks for a better replica.
 ADAPTER_TIMEOUT = timedelta(milliseconds=700)
 # After this many consecutive timeouts at a replica, its queue position there no longer
@@ -112,11 +112,15 @@
     def _make_unavailable_error(self):
         if self._progress.possible_runs:
             return OutcomeUnknown("no other replica can take the request")
-        if self._context.fleet.is_loading(self._forwarding.service):
-            # The jitter keeps the callers from retrying all at once.
-            delay = MODEL_RETRY_AFTER * (1 + self._context.draw())
-            return NoReplica(f"{self._forwarding.service} is loading its model", delay)
-        return NoReplica(f"no replica of {self._forwarding.service}", BUSY_RETRY_AFTER)
+        service = self._forwarding.service
+        model_wait = self._context.fleet.predict_model_wait(service)
+        if model_wait is None:
+            return NoReplica(f"no replica of {service}", BUSY_RETRY_AFTER)
+        # The jitter keeps the callers from returning all at once.
+        delay = model_wait + MODEL_RETRY_SPREAD * self._context.draw()
+        return NoReplica(
+            f"{service} is loading its model", max(BUSY_RETRY_AFTER, delay)
+        )
 
     def _check_wait(self, choice):
         """Raise Overloaded if the predicted wait is too long for the latency objective.
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -14,6 +14,7 @@
     PromptWithdrawal,
     ReplicaState,
 )
+from .model_loads import ModelLoadMonitor
 from .observing import OrderGiven
 from .pacing import MIN_INTERVAL, choose_interval
 from .prompt_admission import PromptAdmission
@@ -66,6 +67,7 @@
         self._reachability = Reachability(_REPLICA, clock, observer)
         self._last_sent = {}
         self._wakeup = None
+        self._model_loads = ModelLoadMonitor()
         self._prompts = PromptAdmission(clock, peers)
 
     @property
@@ -129,6 +131,7 @@
             self._reachability.record_failure(error)
             return False
         self._reachability.record_answer()
+        self._model_loads.record_report(self._report, self._clock.monotonic())
         self._send_states()
         engine = self._find_engine()
         if engine is None:
@@ -172,6 +175,7 @@
         # A change is sent at once to few entry processes, and with a delay to many.
         change_interval = interval - MIN_INTERVAL
         content = (self._report.models, self._report.pending)
+        model_wait = self._model_loads.predict_wait(self._find_engine(), now)
         in_flight = sum(each.in_flight for each in demands.values())
         unread = sum(each.unread_tokens for each in demands.values())
         for entry, demand in demands.items():
@@ -193,6 +197,7 @@
                 interval.total_seconds(),
                 self._prompts.pending_tokens,
                 self._prompts.is_needed,
+                model_wait.total_seconds(),
             )
             self._peers.send(entry, state)
         for entry in set(self._last_sent) - set(demands):
--- a/libs/gateway/tests/test_decisions.py
+++ b/libs/gateway/tests/test_decisions.py
@@ -155,6 +155,16 @@
                 bound = 100 * passed + 200 + 3 * 200
             self.assertLessEqual(admitted, bound)
 
+    def test_refunds_nothing_to_a_team_that_had_no_limit_at_admission(self):
+        quotas = TeamQuotas()
+        unlimited = Team("harbour", frozenset(), rate=0.0)
+        limited = Team("harbour", frozenset(), rate=10.0, burst=100.0)
+        quotas.take(unlimited, 30, timedelta(0))
+        before = quotas.get_share(limited, timedelta(0)).tokens_left
+        quotas.refund(limited, 30)
+        after = quotas.get_share(limited, timedelta(0)).tokens_left
+        self.assertEqual(before, after)
+
     def test_a_partitioned_group_uses_only_its_share(self):
         quotas = TeamQuotas()
         quotas.set_peers(["e1", "e2", "e3"], seconds(1), seconds(0))
--- a/libs/gateway/tests/test_forwarding.py
+++ b/libs/gateway/tests/test_forwarding.py
@@ -319,11 +319,14 @@
         self.assertEqual([name for name, _ in world.client.sent], ["new"])
 
     def test_refuses_with_a_longer_retry_after_time_while_the_model_loads(self):
-        for record in self.records:
-            self.world.context.fleet.record_state(record.ip, ReplicaState(record.born))
+        # Load pattern: all replicas restart and load their model. Callers that were
+        # told to return after a fixed time found it still loading, and did not retry.
+        for record, model_wait in zip(self.records, (1.4, 1.3)):
+            state = ReplicaState(record.born, model_wait=model_wait)
+            self.world.context.fleet.record_state(record.ip, state)
         sink, _ = self.world.send("stream")
         self.assertIsInstance(sink.refusal, NoReplica)
-        self.assertGreaterEqual(sink.refusal.retry_after, seconds(0.8))
+        self.assertEqual(sink.refusal.retry_after, seconds(1.3))
 
     def test_truncates_a_stream_at_its_deadline(self):
         self.script_both(Answer(pieces=[EVENTS[0]], goes_silent=True))
--- a/libs/gateway/tests/test_side.py
+++ b/libs/gateway/tests/test_side.py
@@ -6,6 +6,7 @@
 from balsamspoke_gateway.configuration import EngineLimits, EngineModel
 from balsamspoke_gateway.exceptions import AnswerLost
 from balsamspoke_gateway.messages import EntryDemand, ReplicaState, WantedAdapter
+from balsamspoke_gateway.model_loads import ModelLoadMonitor
 from balsamspoke_gateway.ports import ReplicaControl
 from balsamspoke_gateway.side import SideCore
 from twisted.internet.defer import fail, succeed
@@ -109,6 +110,21 @@
         self.time.advance(seconds(0.4))
         self.assertLess(self.list_states()[-1].wanted_adapters, 3)
 
+    def test_predicts_when_a_restarted_replica_holds_its_model(self):
+        monitor = ModelLoadMonitor()
+        model = EngineModel(MODEL, 10.0, seconds(1.6), seconds(3.9))
+        engine = EngineLimits((model,), 20.0, 2, 8)
+        monitor.record_report(EngineReport(1), seconds(10))
+        waits = []
+        for now in (10, 11, 12, 20):
+            monitor.record_report(EngineReport(1), seconds(now))
+            waits.append(monitor.predict_wait(engine, seconds(now)).total_seconds())
+        # After 1.6 s it is not on the disk; after 3.9 s nothing is known.
+        for wait, expected in zip(waits, (1.6, 0.6, 1.9, 0)):
+            self.assertAlmostEqual(wait, expected)
+        monitor.record_report(EngineReport(1, {MODEL: {}}), seconds(21))
+        self.assertEqual(monitor.predict_wait(engine, seconds(21)), seconds(0))
+
     def test_resends_a_lost_order_with_the_same_count(self):
         # Load pattern: a third of the orders get no answer while loads are queued.
         self.control.orders_to_lose = 2
--- a/libs/transport/src/balsamspoke_transport/callers.py
+++ b/libs/transport/src/balsamspoke_transport/callers.py
@@ -1,5 +1,6 @@
 """HTTP server side: connections that callers open to an entry process."""
 
+from http import HTTPStatus
 from io import BytesIO
 
 from balsamspoke_gateway.ports import CallerSink
@@ -15,6 +16,14 @@
 _TIMEOUT_RESPONSE = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n"
 
 
+def find_reason_phrase(status):
+    """Return the standard reason phrase of an HTTP status; empty if it has none."""
+    try:
+        return HTTPStatus(status).phrase.encode("ascii")
+    except ValueError:
+        return b""
+
+
 class CallerExchange(http.Request, CallerSink):
     """A caller's request, and the sink that its response is written to.
 
@@ -72,7 +81,7 @@
             Content length in bytes; None for a stream.
         """
         self.status = status
-        self.setResponseCode(status, http.RESPONSES.get(status, b"Answer"))
+        self.setResponseCode(status, find_reason_phrase(status))
         fields = self.responseHeaders
         for name, value in headers:
             if name.lower() not in _NOT_FORWARDED_HEADERS:
--- a/libs/transport/tests/test_callers.py
+++ b/libs/transport/tests/test_callers.py
@@ -4,7 +4,7 @@
 
 from balsamspoke_gateway.configuration import CallerLimits
 from balsamspoke_transport import callers
-from balsamspoke_transport.callers import CallerFactory
+from balsamspoke_transport.callers import CallerFactory, find_reason_phrase
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
@@ -101,3 +101,10 @@
         self.limits = CallerLimits(body_bytes=20)
         self.send(REQUEST_HEAD + b"Content-Length: 15\r\n\r\n" + b"a" * 15)
         self.assertEqual(self.bodies, [b"a" * 15])
+
+
+class ReasonPhraseTests(unittest.TestCase):
+    def test_uses_the_standard_phrase_of_any_status(self):
+        self.assertEqual(find_reason_phrase(429), b"Too Many Requests")
+        self.assertEqual(find_reason_phrase(200), b"OK")
+        self.assertEqual(find_reason_phrase(799), b"")
