Send nothing to a replica that began to leave while a request waited for it

Cause (reading): a request now waits up to its objective for permission, and always waited for adapters, after its replica was chosen; added to the time until the leaving is read, that comes near the time in which replicas that leave may still get requests. Change: after the waits a replica that is leaving or gone is chosen anew. Two tests failed first. Side processes log when they begin and cease to pace prompts, and measure the prompts that wait; a refusal states the predicted wait.

--- a/libs/gateway/src/balsamspoke_gateway/fleet.py
+++ b/libs/gateway/src/balsamspoke_gateway/fleet.py
@@ -150,6 +150,11 @@
         healthy = [each for each in records if not self.health.is_avoided(each.id, now)]
         return [self._make_candidate(each, model) for each in healthy or records]
 
+    def is_available(self, record):
+        """Return whether a replica is still listed and not leaving."""
+        current = self.directory.find(record.id)
+        return current is not None and not current.is_leaving
+
     def remove_unlisted(self):
         """Drop the state of replicas that are no longer in the directory."""
         listed = {record.id for record in self.directory.list_all()}
--- a/libs/gateway/src/balsamspoke_gateway/observing.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing.py
@@ -247,6 +247,23 @@
     outcome: str
 
 
+@dataclass(frozen=True, slots=True)
+class PromptPacingChanged:
+    """A side process began, or ceased, to decide when prompts are sent.
+
+    Attributes
+    ----------
+    pause_limit : timedelta or None
+        Longest pause that the replica's streams may have; None if prompts no longer
+        wait.
+    long_pauses : int
+        Longer pauses that were reported within the counting time.
+    """
+
+    pause_limit: timedelta | None
+    long_pauses: int
+
+
 @dataclass(frozen=True, slots=True)
 class DependencyLost:
     """A dependency does not answer any more.
--- a/libs/gateway/src/balsamspoke_gateway/pauses.py
+++ b/libs/gateway/src/balsamspoke_gateway/pauses.py
@@ -64,11 +64,16 @@
         if not count:
             return
         self._recent.append(_LongPauses(count, now))
-        if sum(each.count for each in self._recent) < MIN_LONG_PAUSES:
+        if self.recent_pauses < MIN_LONG_PAUSES:
             return
         self._limit = min(limit, self.find_limit(now) or limit)
         self._expires = now + PACING_TIME
 
+    @property
+    def recent_pauses(self):
+        """Number of long pauses that were recorded within the counting time."""
+        return sum(each.count for each in self._recent)
+
     def find_limit(self, now):
         """Return the limit that pauses exceeded recently (by monotonic time), or None.
 
--- a/libs/gateway/src/balsamspoke_gateway/prompt_admission.py
+++ b/libs/gateway/src/balsamspoke_gateway/prompt_admission.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from .messages import PromptAnswer, PromptDecision
+from .observing import PromptPacingChanged
 from .pauses import PauseMonitor
 from .prompt_schedule import PendingPrompt, PromptSchedule, ReadingPace
 from .reading_speed import ReadingSpeed
@@ -17,11 +18,15 @@
         Source of monotonic time and of timers.
     peers : PeerSender
         Sends the answers.
+    observer : Observer
+        Receives PromptPacingChanged.
     """
 
-    def __init__(self, clock, peers):
+    def __init__(self, clock, peers, observer):
         self._clock = clock
         self._peers = peers
+        self._observer = observer
+        self._reported_limit = None
         self._pauses = PauseMonitor()
         self._speed = ReadingSpeed()
         self._schedule = PromptSchedule()
@@ -77,6 +82,10 @@
     def _find_pace(self):
         """Return the ReadingPace, or None while prompts need not wait."""
         limit = self._pauses.find_limit(self._clock.monotonic())
+        if limit != self._reported_limit:
+            self._reported_limit = limit
+            changed = PromptPacingChanged(limit, self._pauses.recent_pauses)
+            self._observer.observe(changed)
         if limit is None:
             return None
         return ReadingPace.choose(limit, self._speed.seconds_per_token)
--- a/libs/gateway/src/balsamspoke_gateway/selection.py
+++ b/libs/gateway/src/balsamspoke_gateway/selection.py
@@ -70,7 +70,9 @@
             if choice.must_load and not await self._wait_for_adapter(choice):
                 self._progress.record_adapter_timeout(choice.candidate.record.id)
                 continue
-            return await self._wait_for_permission(choice)
+            choice = await self._wait_for_permission(choice)
+            if self._context.fleet.is_available(choice.candidate.record):
+                return choice
 
     def _choose(self):
         prompt = self._request.prompt
@@ -196,7 +198,8 @@
         if answer is not None and answer.decision is not PromptDecision.START:
             wait = timedelta(seconds=answer.wait)
             raise Overloaded(
-                f"the replica cannot read the prompt within {offer.patience:.3f} s",
+                f"the replica reads no prompt within {offer.patience:.3f} s: "
+                f"a wait of {answer.wait:.3f} s is predicted",
                 max(BUSY_RETRY_AFTER, wait),
             )
         return replace(choice, offer_number=offer.number)
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -68,13 +68,18 @@
         self._last_sent = {}
         self._wakeup = None
         self._model_loads = ModelLoadMonitor()
-        self._prompts = PromptAdmission(clock, peers)
+        self._prompts = PromptAdmission(clock, peers, observer)
 
     @property
     def report_age(self):
         """Seconds since the replica's last report; None if there was none."""
         return self._reachability.silence
 
+    @property
+    def pending_prompt_tokens(self):
+        """Tokens of the prompts that wait to be sent to the replica."""
+        return self._prompts.pending_tokens
+
     def start(self):
         """Start the control loop; return its Deferred."""
         return Deferred.fromCoroutine(self._run())
--- a/libs/gateway/tests/test_forwarding.py
+++ b/libs/gateway/tests/test_forwarding.py
@@ -1,4 +1,5 @@
 import unittest
+from dataclasses import replace
 from datetime import timedelta
 
 from balsamspoke_fakes.properties import examples
@@ -233,6 +234,14 @@
         self.assertEqual(sink.refusal.retry_after, timedelta(seconds=0.6))
         self.assertEqual(self.world.client.sent, [])
 
+    def test_sends_nothing_to_a_replica_that_began_to_leave_during_the_load(self):
+        self.world.send("stream", adapter="a7")
+        (ip,) = self.list_ips_with_demand()
+        record = next(each for each in self.records if each.ip == ip)
+        self.world.add(replace(record, is_leaving=True))
+        self.world.tell_state(record, {"a7": 1})
+        self.assertEqual(self.world.client.sent, [])
+
     def test_says_which_adapters_are_wanted_by_requests_that_can_be_on_time(self):
         self.world.send("stream", adapter="a7")
         self.assertEqual([each.adapter for each in self.find_demand().urgent], ["a7"])
--- a/libs/gateway/tests/test_prompts.py
+++ b/libs/gateway/tests/test_prompts.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from dataclasses import replace
 from datetime import timedelta
 
 from balsamspoke_fakes import VirtualClock, VirtualTime
@@ -15,7 +16,7 @@
     PromptRead,
     PromptWithdrawal,
 )
-from balsamspoke_gateway.pauses import PauseMonitor, is_long_pause
+from balsamspoke_gateway.pauses import PACING_TIME, PauseMonitor, is_long_pause
 from balsamspoke_gateway.prompt_admission import PromptAdmission
 from balsamspoke_gateway.prompt_schedule import (
     PendingPrompt,
@@ -26,7 +27,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from .world import Answer, RecordedPeers, World, make_record
+from .world import Answer, RecordedObserver, RecordedPeers, World, make_record
 
 PACE = ReadingPace(timedelta(seconds=0.3), 4_500)
 ENTRY = "10.0.1.1"
@@ -243,7 +244,10 @@
     def setUp(self):
         self.time = VirtualTime()
         self.peers = RecordedPeers()
-        self.admission = PromptAdmission(VirtualClock(self.time), self.peers)
+        self.observer = RecordedObserver()
+        self.admission = PromptAdmission(
+            VirtualClock(self.time), self.peers, self.observer
+        )
         self.admission.record_pauses(3, PACE.window)
         self.tokens = ReadingPace.choose(PACE.window, INITIAL_SECONDS_PER_TOKEN).tokens
 
@@ -280,6 +284,14 @@
         self.assertEqual(self.list_answers(1), [PromptDecision.START] * 2)
         self.assertEqual(self.list_answers(2), [PromptDecision.START])
 
+    def test_reports_when_prompts_begin_and_cease_to_be_paced(self):
+        self.assertTrue(self.admission.is_needed)
+        self.time.advance(PACING_TIME)
+        self.assertFalse(self.admission.is_needed)
+        self.assertEqual(
+            [each.pause_limit for each in self.observer.events], [PACE.window, None]
+        )
+
     def test_a_withdrawn_prompt_gives_way(self):
         self.offer(1)
         self.offer(2)
@@ -328,6 +340,15 @@
         number = self.list_offers()[-1].number
         self.assertIn((self.record.ip, PromptRead(number)), self.world.peers.sent)
 
+    def test_sends_no_prompt_to_a_replica_that_began_to_leave_meanwhile(self):
+        other = make_record("b", "engines", number=2)
+        self.world.send("stream", "a1")
+        self.answer(PromptDecision.WAIT, 0.5)
+        self.world.add(replace(self.record, is_leaving=True), other)
+        self.world.tell_state(other, {"a1": 1})
+        self.answer(PromptDecision.START)
+        self.assertEqual([name for name, _ in self.world.client.sent], ["b"])
+
     def test_refuses_at_once_and_says_when_to_return(self):
         sink, _ = self.world.send("stream", "a1")
         self.answer(PromptDecision.REFUSE, 1.5)
