--- a/libs/daemon/src/balsamspoke_daemon/logs.py
+++ b/libs/daemon/src/balsamspoke_daemon/logs.py
@@ -7,7 +7,8 @@
 from datetime import timedelta
 
 import orjson
-from balsamspoke_node import CatalogueChanged, Observer, RequestEnded, TokensGap
+from balsamspoke_gateway.observing import Observer
+from balsamspoke_node import CatalogueChanged, RequestEnded, TokensGap
 from balsamspoke_replica import RequestRefused, RequestStarted
 from balsamspoke_transport.log_lines import add_json_line, get_line_format
 from loguru import logger
--- a/libs/daemon/src/balsamspoke_daemon/metrics.py
+++ b/libs/daemon/src/balsamspoke_daemon/metrics.py
@@ -1,6 +1,7 @@
 """OpenTelemetry histograms and counters of the daemon."""
 
-from balsamspoke_node import Observer, RequestEnded, TokensGap
+from balsamspoke_gateway.observing import Observer
+from balsamspoke_node import RequestEnded, TokensGap
 from balsamspoke_replica import LoadEnded, RequestRefused, RequestStarted
 from balsamspoke_transport.meters import EventMeter
 
--- a/libs/daemon/src/balsamspoke_daemon/process.py
+++ b/libs/daemon/src/balsamspoke_daemon/process.py
@@ -5,12 +5,12 @@
 import secrets
 import signal
 
+from balsamspoke_gateway.observing import Observers
 from balsamspoke_node import (
     EntryNode,
     EntrySettings,
     NodeIdentity,
     NodePorts,
-    ObserverGroup,
     SideNode,
 )
 from balsamspoke_platform import (
@@ -71,7 +71,7 @@
         self._is_stopping = False
         self._ports = []
         set_up_logs(settings, self.process)
-        self._observer = ObserverGroup(LogObserver(self._clock), MetricsObserver())
+        self._observer = Observers(LogObserver(self._clock), MetricsObserver())
         self._node = self._make_node()
 
     async def start(self):
--- a/libs/node/src/balsamspoke_node/__init__.py
+++ b/libs/node/src/balsamspoke_node/__init__.py
@@ -5,8 +5,6 @@
 from .events import (
     CatalogueChanged,
     NullObserver,
-    Observer,
-    ObserverGroup,
     RequestEnded,
     StopStarted,
     TokensGap,
@@ -25,8 +23,6 @@
     "NodeIdentity",
     "NodePorts",
     "NullObserver",
-    "Observer",
-    "ObserverGroup",
     "RequestEnded",
     "Responder",
     "SideNode",
--- a/libs/node/src/balsamspoke_node/entry.py
+++ b/libs/node/src/balsamspoke_node/entry.py
@@ -1,6 +1,7 @@
 """The core of an entry process, which does all its I/O through ports."""
 
 from balsamspoke_catalogue import CatalogueSynchronizer
+from balsamspoke_gateway.observing import Observers
 from balsamspoke_limits import Limits, TeamBudgets
 from balsamspoke_membership import Membership, MemberState
 from balsamspoke_routing import (
@@ -13,7 +14,7 @@
 from balsamspoke_types.ports import PeerHandler, VmState
 
 from .context import EntryContext
-from .events import CatalogueChanged, NullObserver, ObserverGroup, StopStarted
+from .events import CatalogueChanged, NullObserver, StopStarted
 from .explanations import Explanations
 from .identity import ENTRY_ROLE, SIDE_ROLE
 from .readiness import StartReadiness
@@ -49,7 +50,7 @@
         self.settings = settings
         self._clock = ports.clock
         self.explanations = Explanations(settings.maximum_explanations)
-        self._observer = ObserverGroup(self.explanations, observer or NullObserver())
+        self._observer = Observers(self.explanations, observer or NullObserver())
         self.catalogue = CatalogueSynchronizer(
             ports.process,
             ports.clock,
--- a/libs/node/src/balsamspoke_node/events.py
+++ b/libs/node/src/balsamspoke_node/events.py
@@ -1,9 +1,9 @@
 """Events that a node core reports for logs, metrics and request explanations."""
 
-from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from datetime import timedelta
 
+from balsamspoke_gateway.observing import Observer
 from balsamspoke_types.objects import Kind, PriorityClass
 from balsamspoke_types.outcomes import Refusal
 
@@ -85,28 +85,8 @@
     """A planned stop has begun, and the process reports itself not ready."""
 
 
-class Observer(ABC):
-    """Port that receives the events of a node core."""
-
-    @abstractmethod
-    def observe(self, event):
-        """Receive an event, a frozen dataclass."""
-
-
 class NullObserver(Observer):
     """An observer that discards all events."""
 
     def observe(self, event):
         """Discard the event."""
-
-
-class ObserverGroup(Observer):
-    """An observer that forwards events to several observers, in order."""
-
-    def __init__(self, *observers):
-        self._observers = observers
-
-    def observe(self, event):
-        """Forward the event to all observers."""
-        for observer in self._observers:
-            observer.observe(event)
--- a/libs/node/src/balsamspoke_node/explanations.py
+++ b/libs/node/src/balsamspoke_node/explanations.py
@@ -2,7 +2,9 @@
 
 from collections import OrderedDict
 
-from .events import Observer, RequestEnded
+from balsamspoke_gateway.observing import Observer
+
+from .events import RequestEnded
 
 
 class Explanations(Observer):
--- a/libs/node/tests/fleet.py
+++ b/libs/node/tests/fleet.py
@@ -19,6 +19,7 @@
     VmListState,
 )
 from balsamspoke_fakes.backend import format_token
+from balsamspoke_gateway.observing import Observer
 from balsamspoke_limits import BudgetSettings
 from balsamspoke_node import (
     CallerRequest,
@@ -27,7 +28,6 @@
     EntrySettings,
     NodeIdentity,
     NodePorts,
-    Observer,
     Responder,
     SideNode,
     SideSettings,
--- a/libs/node/tests/test_keys.py
+++ b/libs/node/tests/test_keys.py
@@ -4,7 +4,8 @@
 
 import orjson
 from balsamspoke_fakes.properties import examples
-from balsamspoke_node import CallerRequest, Observer
+from balsamspoke_gateway.observing import Observer
+from balsamspoke_node import CallerRequest
 from balsamspoke_node.authorization import refuse_misplaced_key
 from balsamspoke_node.exceptions import RequestRefused
 from balsamspoke_types.objects import Adapter, Kind, PlainService
