Let processes that start together share one initial burst

Each new process began with half of the team's burst for itself; since requests are no longer refused in the first milliseconds, all of them were spent. Change: a new bucket holds its process's part of half a burst; it moves to the mean as soon as peers are heard. Requests also wait for the list of peers at the start, and after one wait in vain none waits any more.

--- a/libs/gateway/src/balsamspoke_gateway/context.py
+++ b/libs/gateway/src/balsamspoke_gateway/context.py
@@ -56,7 +56,7 @@
     prompt_offers : PromptOffers
         Prompts offered to side processes.
     startup : StartupGate
-        Holds requests until the process knows its configuration and replicas.
+        Holds requests until the process knows its configuration, replicas and peers.
     configuration : Configuration or None
         Configuration in force; None until the first one was read.
     processes : int
--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -243,7 +243,8 @@
 
     def _open_if_ready(self):
         context = self.context
-        if context.configuration is not None and context.fleet.directory.list_all():
+        has_replicas = bool(context.fleet.directory.list_all())
+        if context.configuration is not None and has_replicas and self._peers.is_known:
             context.startup.open()
 
     def _report_record_change(self, change):
@@ -287,6 +288,7 @@
         lifetime = choose_lifetime(choose_interval(len(peers)))
         context.quotas.set_peers(peers, lifetime, context.clock.monotonic())
         context.observer.observe(EntriesListed(context.processes))
+        self._open_if_ready()
 
     def _maintain_replicas(self):
         context = self.context
--- a/libs/gateway/src/balsamspoke_gateway/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -76,8 +76,7 @@
     async def run(self):
         """Answer the request; all errors are turned into answers."""
         try:
-            if self.context.configuration is None:
-                await self.context.startup.wait()
+            await self.context.startup.wait()
             self._admit()
             await self._forward()
             self._report_end(ANSWERED)
--- a/libs/gateway/src/balsamspoke_gateway/peers.py
+++ b/libs/gateway/src/balsamspoke_gateway/peers.py
@@ -31,6 +31,11 @@
         self._unlisted_since = {}
         self._relisted_at = None
 
+    @property
+    def is_known(self):
+        """Whether the list was read since the start."""
+        return self._revision is not None
+
     @property
     def is_registered(self):
         """Whether this process is listed, or will be once its write is read back."""
--- a/libs/gateway/src/balsamspoke_gateway/quotas.py
+++ b/libs/gateway/src/balsamspoke_gateway/quotas.py
@@ -10,8 +10,8 @@
 # A peer that sent no message for this long is assumed to have ended. VMs are
 # partitioned for shorter times, so a peer that still serves requests keeps its share.
 PEER_EXPIRY = timedelta(minutes=10)
-# Fraction of the burst that a new process may spend: it has no record of what it or its
-# peers admitted just before it started.
+# Fraction of the burst that processes that start together may spend: they have no
+# record of what was admitted just before.
 INITIAL_FILL_RATIO = 0.5
 # Fraction of the tolerance that partitioned groups of processes may use; the rest
 # covers what is admitted before the partition is detected.
@@ -270,7 +270,10 @@
         burst = share * team.burst
         bucket = self._buckets.get(team.name)
         if bucket is None:
-            bucket = _Bucket(team.burst * INITIAL_FILL_RATIO, rate, burst, now)
+            # Until it hears of its peers, a process spends its own part alone: they may
+            # all have just started.
+            level = team.burst * INITIAL_FILL_RATIO / (len(self._last_received) + 1)
+            bucket = _Bucket(level, rate, burst, now)
             self._buckets[team.name] = bucket
         bucket.rate, bucket.burst = rate, burst
         bucket.refill(now)
--- a/libs/gateway/src/balsamspoke_gateway/startup.py
+++ b/libs/gateway/src/balsamspoke_gateway/startup.py
@@ -17,7 +17,8 @@
 
     This handles restarts of many processes at once: callers whose connections broke
     return within a second, mostly for the last time, and find a process that will know
-    its configuration and replicas a few milliseconds later.
+    its configuration, replicas and peers a few milliseconds later. Without its peers it
+    would admit the whole limit of each team.
 
     Parameters
     ----------
@@ -38,7 +39,11 @@
             waiter.callback(None)
 
     async def wait(self):
-        """Wait until the gate opens, at most for ``MAX_STARTUP_WAIT``."""
+        """Wait until the gate opens, at most for ``MAX_STARTUP_WAIT``.
+
+        After a wait in vain the gate opens: the store does not answer, and requests
+        are refused at once until it does.
+        """
         if self._is_open:
             return
         waiter = Deferred(self._waiters.remove)
@@ -46,5 +51,4 @@
         try:
             await add_timeout(waiter, self._clock, MAX_STARTUP_WAIT, AnswerOverdue())
         except AnswerOverdue:
-            # The request is refused with the reason that it can't be handled.
-            return
+            self.open()
--- a/libs/gateway/tests/test_decisions.py
+++ b/libs/gateway/tests/test_decisions.py
@@ -155,6 +155,23 @@
                 bound = 100 * passed + 200 + 3 * 200
             self.assertLessEqual(admitted, bound)
 
+    def test_processes_that_start_together_share_one_initial_burst(self):
+        # Found by a score (grown Bajío, trouble-3): 22 processes were killed at once,
+        # and each new one admitted half of the burst before it heard of the others.
+        team = Team("harbour", frozenset(), rate=100.0, burst=200.0)
+        names = [f"10.0.1.{number}" for number in range(22)]
+        now = timedelta(seconds=10)
+        admitted = 0
+        for name in names:
+            quotas = TeamQuotas()
+            peers = [each for each in names if each != name]
+            quotas.set_peers(peers, timedelta(seconds=1), now)
+            with self.assertRaises(OverLimit):
+                for _ in range(1_000):
+                    quotas.take(team, 1, now)
+                    admitted += 1
+        self.assertLessEqual(admitted, team.burst / 2 + len(names))
+
     def test_refunds_nothing_to_a_team_that_had_no_limit_at_admission(self):
         quotas = TeamQuotas()
         unlimited = Team("harbour", frozenset(), rate=0.0)
--- a/libs/gateway/tests/test_entry.py
+++ b/libs/gateway/tests/test_entry.py
@@ -12,7 +12,7 @@
 from balsamspoke_gateway.records import AnnouncedVersion, EntrySources
 from balsamspoke_gateway.replicas import RECOVERY_GRACE
 from balsamspoke_gateway.requests import AdapterName
-from balsamspoke_gateway.startup import MAX_STARTUP_WAIT
+from balsamspoke_gateway.startup import MAX_STARTUP_WAIT, StartupGate
 from balsamspoke_types.exceptions import StoreUnavailable, WatchExpired
 from hypothesis import given
 from hypothesis import strategies as st
@@ -143,6 +143,7 @@
     def __init__(self):
         super().__init__()
         self.context.configuration = None
+        self.context.startup = StartupGate(self.clock)
         self.store = FakeStore()
         sources = EntrySources(
             *(
@@ -185,6 +186,8 @@
         sink, _ = self.world.send("safe")
         self.world.pass_time(MAX_STARTUP_WAIT.total_seconds())
         self.assertIsInstance(sink.refusal, NotReady)
+        sink, _ = self.world.send("safe")
+        self.assertIsInstance(sink.refusal, NotReady)
         self.world.configure(1)
         self.add("a")
         self.world.pass_time(1)
--- a/libs/gateway/tests/test_forwarding.py
+++ b/libs/gateway/tests/test_forwarding.py
@@ -18,7 +18,7 @@
 )
 from balsamspoke_gateway.messages import ReplicaState
 from balsamspoke_gateway.replicas import HeldModel
-from balsamspoke_gateway.startup import MAX_STARTUP_WAIT
+from balsamspoke_gateway.startup import MAX_STARTUP_WAIT, StartupGate
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -49,6 +49,7 @@
 
     def test_refuses_without_a_configuration(self):
         self.world.context.configuration = None
+        self.world.context.startup = StartupGate(self.world.clock)
         sink, _ = self.world.send("safe")
         self.world.pass_time(MAX_STARTUP_WAIT.total_seconds())
         self.assertIsInstance(sink.refusal, NotReady)
--- a/libs/gateway/tests/world.py
+++ b/libs/gateway/tests/world.py
@@ -304,6 +304,7 @@
             draw=lambda: 0.0,
         )
         self.context.configuration = CONFIGURATION
+        self.context.startup.open()
 
     def add(self, *records):
         """Add ReplicaRecords to the directory."""
