--- a/libs/ctl/src/balsamspoke_ctl/log_commands.py
+++ b/libs/ctl/src/balsamspoke_ctl/log_commands.py
@@ -13,7 +13,7 @@
     (
         "ConfigurationAdopted", "ReplicasListed", "ReplicaChanged", "EntriesListed",
         "DependencyLost", "DependencyRegained", "AdapterAnnounced", "Started",
-        "Stopping", "Reloaded",
+        "PromptPacingChanged", "Stopping", "Reloaded",
     )
 )  # fmt: skip
 # Fields that every line has; ``LogLine`` leaves them out of its ``fields``.
@@ -80,7 +80,12 @@
     if not files:
         yield from _parse_lines(sys.stdin.buffer)
     for path in files:
-        with path.open("rb") as stream:
+        try:
+            stream = path.open("rb")
+        except OSError as error:
+            reason = f"can't read the log file {path}: {error.strerror}"
+            raise NoSuchItem(reason) from error
+        with stream:
             yield from _parse_lines(stream)
 
 
--- a/libs/ctl/tests/test_trace.py
+++ b/libs/ctl/tests/test_trace.py
@@ -54,6 +54,11 @@
         self.assertEqual(code, ExitCode.NOT_FOUND)
         self.assertIn("r9", problems)
 
+    def test_missing_log_file_is_reported(self):
+        code, _, problems = self.harness.run("trace", "r1", "nowhere.log")
+        self.assertEqual(code, ExitCode.NOT_FOUND)
+        self.assertIn("nowhere.log: No such file", problems)
+
 
 if __name__ == "__main__":
     unittest.main()
