Name admission control of prompts by the terms of the field, split its modules

A reader who joins stumbled over offers, permissions, paces, pauses and patience, and over selection.py, which chose replicas and asked for permission. Change: admission request, reply (admitted, queued, rejected), cancellation; prefill rate limit; late events. The time of a load is measured at the replica instead of a constant.

--- a/libs/ctl/src/balsamspoke_ctl/log_commands.py
+++ b/libs/ctl/src/balsamspoke_ctl/log_commands.py
@@ -13,7 +13,7 @@
     (
         "ConfigurationAdopted", "ReplicasListed", "ReplicaChanged", "EntriesListed",
         "DependencyLost", "DependencyRegained", "AdapterAnnounced", "Started",
-        "PromptPacingChanged", "Stopping", "Reloaded",
+        "PrefillRateLimitChanged", "Stopping", "Reloaded",
     )
 )  # fmt: skip
 # Fields that every line has; ``LogLine`` leaves them out of its ``fields``.
--- a/libs/gateway/src/balsamspoke_gateway/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/attempt.py
@@ -3,6 +3,7 @@
 from balsamspoke_types.timing import add_timeout
 from twisted.internet.defer import CancelledError
 
+from .admission_messages import PrefillEnded
 from .exceptions import (
     NO_DELAY,
     AnswerLost,
@@ -12,8 +13,7 @@
     OutcomeUnknown,
     TimedOut,
 )
-from .messages import PromptRead
-from .pauses import is_long_pause
+from .late_events import is_late_event
 from .requests import ReplicaRequest
 from .streams import EventSplitter
 
@@ -215,7 +215,7 @@
         if self._unread_tokens:
             self._record_first_event()
         else:
-            self._record_pause()
+            self._record_interval()
         self._last_event_at = self._context.clock.monotonic()
         sink = self._forwarding.sink
         if not sink.is_started:
@@ -229,21 +229,22 @@
     def _is_new(event, last_event_id):
         return event.id is None or last_event_id is None or event.id > last_event_id
 
-    def _record_pause(self):
-        limit = self._forwarding.route.pause_limit
+    def _record_interval(self):
+        """Count the event as late if prefill may have delayed it."""
+        limit = self._forwarding.route.max_event_interval
         if limit is None:
             return
-        pause = self._context.clock.monotonic() - self._last_event_at
-        if is_long_pause(pause, limit):
-            self._context.demands.record_long_pause(self._record.id, limit)
+        interval = self._context.clock.monotonic() - self._last_event_at
+        if is_late_event(interval, limit):
+            self._context.demands.record_late_event(self._record.id, limit)
 
     def _record_first_event(self):
         waited = self._context.clock.monotonic() - self._sent_at
         self._load.record_first_event(self._backlog, waited)
         prompt = self._forwarding.request.prompt
-        if self._choice.offer_number is not None:
+        if self._choice.admission_number is not None:
             self._context.peers.send(
-                self._record.ip, PromptRead(self._choice.offer_number)
+                self._record.ip, PrefillEnded(self._choice.admission_number)
             )
         self._release_unread_tokens()
         self._context.prefix_tracker.record_read(prompt, self._record.id)
--- a/libs/gateway/src/balsamspoke_gateway/configuration.py
+++ b/libs/gateway/src/balsamspoke_gateway/configuration.py
@@ -64,9 +64,9 @@
         Whether requests need no key.
     is_resumable : bool
         Whether a broken stream may be resumed at another replica.
-    pause_limit : timedelta or None
-        Longest pause between a stream's events that still earns full credit; None if
-        the route states none.
+    max_event_interval : timedelta or None
+        Longest interval between two events of a stream that is on time; None if the
+        route states none.
     """
 
     name: str
@@ -80,7 +80,7 @@
     max_attempts: int = 1
     is_public: bool = False
     is_resumable: bool = False
-    pause_limit: timedelta | None = None
+    max_event_interval: timedelta | None = None
 
     @property
     def is_idempotent(self):
--- a/libs/gateway/src/balsamspoke_gateway/context.py
+++ b/libs/gateway/src/balsamspoke_gateway/context.py
@@ -7,6 +7,7 @@
 from balsamspoke_types.ports import Clock
 from twisted.internet.defer import CancelledError
 
+from .admission_client import AdmissionClient
 from .configuration import Configuration
 from .demands import AdapterDemands
 from .fleet import Fleet
@@ -14,7 +15,6 @@
 from .pacing import MIN_INTERVAL
 from .popularity import AdapterPopularity
 from .ports import PeerSender, ReplicaClient
-from .prompt_offers import PromptOffers
 from .prompt_prefixes import PrefixTracker
 from .quotas import TeamQuotas
 from .retries import RetryBudget
@@ -53,8 +53,8 @@
         Prompt prefixes that replicas have read.
     popularity : AdapterPopularity
         Request rates of adapters.
-    prompt_offers : PromptOffers
-        Prompts offered to side processes.
+    admission_client : AdmissionClient
+        Requests the admission of prompts at side processes.
     startup : StartupGate
         Holds requests until the process knows its configuration, replicas and peers.
     configuration : Configuration or None
@@ -83,7 +83,7 @@
     versions: AdapterVersions = field(default_factory=AdapterVersions)
     prefix_tracker: PrefixTracker = field(default_factory=PrefixTracker)
     popularity: AdapterPopularity = field(default_factory=AdapterPopularity)
-    prompt_offers: PromptOffers = field(init=False)
+    admission_client: AdmissionClient = field(init=False)
     startup: StartupGate = field(init=False)
     configuration: Configuration | None = None
     processes: int = 1
@@ -94,7 +94,7 @@
 
     def __post_init__(self):
         self.quotas = TeamQuotas(self.settings.quota_tolerance)
-        self.prompt_offers = PromptOffers(self.clock, self.peers)
+        self.admission_client = AdmissionClient(self.clock, self.peers)
         self.startup = StartupGate(self.clock)
 
     def find_retry_budget(self, service):
--- a/libs/gateway/src/balsamspoke_gateway/demands.py
+++ b/libs/gateway/src/balsamspoke_gateway/demands.py
@@ -13,8 +13,8 @@
         self.waiting = {}
         self.running = Counter()
         self.recently_used = set()
-        self.long_pauses = 0
-        self.pause_limit = timedelta(0)
+        self.late_events = 0
+        self.max_event_interval = timedelta(0)
 
 
 class AdapterDemands:
@@ -86,12 +86,14 @@
             if demand.running[target.adapter] <= 0:
                 del demand.running[target.adapter]
 
-    def record_long_pause(self, replica_id, limit):
-        """Record a stream's pause at a replica beyond the limit of its route."""
+    def record_late_event(self, replica_id, limit):
+        """Record a late event of a stream at a replica, and its route's limit."""
         demand = self._find(replica_id)
-        shortest = min(limit, demand.pause_limit) if demand.long_pauses else limit
-        demand.pause_limit = shortest
-        demand.long_pauses += 1
+        shortest = (
+            min(limit, demand.max_event_interval) if demand.late_events else limit
+        )
+        demand.max_event_interval = shortest
+        demand.late_events += 1
 
     def make_message(self, replica_id, load, interval, now):
         """Return the EntryDemand for a replica.
@@ -110,8 +112,8 @@
         demand = self._find(replica_id)
         in_use = demand.recently_used | set(demand.running)
         demand.recently_used.clear()
-        long_pauses, pause_limit = demand.long_pauses, demand.pause_limit
-        demand.long_pauses = 0
+        late_events, max_event_interval = demand.late_events, demand.max_event_interval
+        demand.late_events = 0
         urgent = [
             wanted
             for wanted, waiting in demand.waiting.items()
@@ -123,8 +125,8 @@
             load.in_flight,
             load.unread_tokens,
             interval.total_seconds(),
-            long_pauses,
-            pause_limit.total_seconds(),
+            late_events,
+            max_event_interval.total_seconds(),
             tuple(urgent),
         )
 
--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -6,10 +6,11 @@
 from balsamspoke_types.timing import sleep
 from twisted.internet.defer import Deferred
 
+from .admission_messages import AdmissionReply
 from .configuration import CallerLimits
 from .following import Follower
 from .forwarding import Forwarding
-from .messages import EntryUsage, PromptAnswer, ReplicaState
+from .messages import EntryUsage, ReplicaState
 from .observing import (
     AdapterAnnounced,
     ConfigurationAdopted,
@@ -146,8 +147,8 @@
         if isinstance(message, ReplicaState):
             for record in context.fleet.record_state(ip, message):
                 context.demands.record_state(record.id, message.models)
-        elif isinstance(message, PromptAnswer):
-            context.prompt_offers.record_answer(message)
+        elif isinstance(message, AdmissionReply):
+            context.admission_client.record_reply(message)
         elif isinstance(message, EntryUsage):
             self._receive_usage(ip, message)
 
--- a/libs/gateway/src/balsamspoke_gateway/fleet.py
+++ b/libs/gateway/src/balsamspoke_gateway/fleet.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from datetime import timedelta
 
+from .adapter_load_times import INITIAL_LOAD_TIME
 from .health import ReplicaHealth
 from .loads import ReplicaLoad
 from .pacing import choose_lifetime
@@ -73,7 +74,7 @@
             load = self.find_load(record.id)
             load.others_in_flight = state.others_in_flight
             load.others_unread_tokens = state.others_unread_tokens
-            load.reported_scheduled_tokens = state.scheduled_tokens
+            load.reported_queued_tokens = state.queued_tokens
             self._record_cached_adapters(record.id, state)
         return matching
 
@@ -190,7 +191,14 @@
         }
         cached = self._cached_adapters.get(record.id, {})
         return Candidate(
-            record, load, held, pending, cached, state.wanted_adapters, True
+            record,
+            load,
+            held,
+            pending,
+            cached,
+            state.wanted_adapters,
+            True,
+            timedelta(seconds=state.load_time) or INITIAL_LOAD_TIME,
         )
 
     def _record_cached_adapters(self, replica_id, state):
--- a/libs/gateway/src/balsamspoke_gateway/loads.py
+++ b/libs/gateway/src/balsamspoke_gateway/loads.py
@@ -32,9 +32,9 @@
         Requests of all other processes, from the side process or the last answer.
     seconds_per_token : float
         Estimated time to read a prompt token.
-    scheduled_tokens : int
-        Prompt tokens of requests of this process that wait at the side process.
-    reported_scheduled_tokens : int
+    queued_tokens : int
+        Prompt tokens of this process that wait for admission at the side process.
+    reported_queued_tokens : int
         Prompt tokens of all processes that wait there, as the side process reported.
     """
 
@@ -43,8 +43,8 @@
     others_unread_tokens: int = 0
     others_in_flight: int = 0
     seconds_per_token: float = INITIAL_SECONDS_PER_TOKEN
-    scheduled_tokens: int = 0
-    reported_scheduled_tokens: int = 0
+    queued_tokens: int = 0
+    reported_queued_tokens: int = 0
 
     def predict_wait(self, tokens):
         """Return the timedelta until the first event of a prompt sent now.
@@ -55,7 +55,7 @@
             Length of the prompt, without the part that the replica has read already.
         """
         backlog = self.unread_tokens + self.others_unread_tokens + tokens
-        backlog += max(self.scheduled_tokens, self.reported_scheduled_tokens)
+        backlog += max(self.queued_tokens, self.reported_queued_tokens)
         return timedelta(seconds=backlog * self.seconds_per_token)
 
     def record_first_event(self, backlog, waited):
--- a/libs/gateway/src/balsamspoke_gateway/messages.py
+++ b/libs/gateway/src/balsamspoke_gateway/messages.py
@@ -4,7 +4,6 @@
 """
 
 from dataclasses import dataclass, field
-from enum import Enum
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,10 +42,10 @@
         Prompt tokens of those requests that the replica has not read yet.
     interval : float
         Seconds until the next message.
-    long_pauses : int
-        Pauses of this process's streams beyond their limit since its last message.
-    pause_limit : float
-        The shortest of those limits in seconds.
+    late_events : int
+        Events of this process's streams that came late since its last message.
+    max_event_interval : float
+        Shortest interval in seconds that those events exceeded.
     urgent : tuple of WantedAdapter
         The wanted adapters for which a request waits that can still meet its latency
         objective.
@@ -57,93 +56,11 @@
     in_flight: int = 0
     unread_tokens: int = 0
     interval: float = 0.2
-    long_pauses: int = 0
-    pause_limit: float = 0.0
+    late_events: int = 0
+    max_event_interval: float = 0.0
     urgent: tuple[WantedAdapter, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class PromptOffer:
-    """A prompt that an entry process asks to send to a replica.
-
-    Attributes
-    ----------
-    number : int
-        Number of the offer, unique at the entry process.
-    tokens : int
-        Prompt tokens that the replica has to read.
-    priority : int
-        Priority of the request; 0 comes first.
-    time_to_objective : float
-        Seconds within which it has to start to meet its latency objective; negative
-        afterwards.
-    patience : float
-        Seconds within which it has to start at all.
-    """
-
-    number: int
-    tokens: int
-    priority: int
-    time_to_objective: float
-    patience: float
-
-
-@dataclass(frozen=True, slots=True)
-class PromptRead:
-    """Report that the first event after a prompt that was permitted has arrived.
-
-    Attributes
-    ----------
-    number : int
-        Number of the offer.
-    """
-
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class PromptWithdrawal:
-    """Withdrawal of a PromptOffer whose request has ended or found another replica.
-
-    Attributes
-    ----------
-    number : int
-        Number of the offer.
-    """
-
-    number: int
-
-
-class PromptDecision(Enum):
-    """Decision of a side process on a PromptOffer.
-
-    After ``WAIT`` another answer follows.
-    """
-
-    START = "start"
-    WAIT = "wait"
-    REFUSE = "refuse"
-
-
-@dataclass(frozen=True, slots=True)
-class PromptAnswer:
-    """Answer of a side process to a PromptOffer.
-
-    Attributes
-    ----------
-    number : int
-        Number of the offer.
-    decision : PromptDecision
-        Whether the prompt may be sent now.
-    wait : float
-        Predicted seconds until it may be sent.
-    """
-
-    number: int
-    decision: PromptDecision
-    wait: float = 0.0
-
-
 @dataclass(frozen=True, slots=True)
 class ReplicaState:
     """State of a replica, sent by its side process to an entry process.
@@ -169,10 +86,12 @@
         Unread prompt tokens that the other entry processes have reported.
     interval : float
         Seconds until the next message.
-    scheduled_tokens : int
-        Prompt tokens that wait at the side process to be sent to the replica.
-    schedules_prompts : bool
-        Whether prompts are to be offered to the side process before they are sent.
+    queued_tokens : int
+        Prompt tokens that wait for admission at the side process.
+    requires_admission : bool
+        Whether prompts have to be admitted by the side process before they are sent.
+    load_time : float
+        Estimated seconds of an adapter's load; 0 if not known.
     model_wait : float
         Predicted seconds until the replica holds its model; 0 if it does.
     """
@@ -186,8 +105,9 @@
     others_in_flight: int = 0
     others_unread_tokens: int = 0
     interval: float = 0.2
-    scheduled_tokens: int = 0
-    schedules_prompts: bool = False
+    queued_tokens: int = 0
+    requires_admission: bool = False
+    load_time: float = 0.0
     model_wait: float = 0.0
 
 
--- a/libs/gateway/src/balsamspoke_gateway/model_loads.py
+++ b/libs/gateway/src/balsamspoke_gateway/model_loads.py
@@ -31,7 +31,7 @@
         now : timedelta
             Monotonic time.
         """
-        if self._started_at is None or engine is None:
+        if self._started_at is None or engine is None or not engine.models:
             return NO_DELAY
         elapsed = now - self._started_at
         model = engine.models[0]
--- a/libs/gateway/src/balsamspoke_gateway/observing.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing.py
@@ -248,20 +248,20 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PromptPacingChanged:
-    """A side process began, or ceased, to decide when prompts are sent.
+class PrefillRateLimitChanged:
+    """A side process began, or ceased, to limit the prefill rate of its replica.
 
     Attributes
     ----------
-    pause_limit : timedelta or None
-        Longest pause that the replica's streams may have; None if prompts no longer
-        wait.
-    long_pauses : int
-        Longer pauses that were reported within the counting time.
+    max_event_interval : timedelta or None
+        Longest interval between the events of a stream to be kept; None if the rate is
+        no longer limited.
+    late_events : int
+        Late events that were reported within the counting time.
     """
 
-    pause_limit: timedelta | None
-    long_pauses: int
+    max_event_interval: timedelta | None
+    late_events: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/balsamspoke_gateway/placement.py
+++ b/libs/gateway/src/balsamspoke_gateway/placement.py
@@ -8,6 +8,7 @@
 
 import xxhash
 
+from .adapter_load_times import INITIAL_LOAD_TIME
 from .loads import ReplicaLoad
 from .replicas import ReplicaRecord
 from .requests import AdapterName, Prompt
@@ -60,6 +61,8 @@
     can_load : bool
         Whether it can be asked to load adapters, as its side process has reported
         recently.
+    load_time : timedelta
+        Estimated time to load an adapter.
     """
 
     record: ReplicaRecord
@@ -69,6 +72,7 @@
     cached: dict[AdapterName, int] = field(default_factory=dict)
     wanted_adapters: int = 0
     can_load: bool = False
+    load_time: timedelta = INITIAL_LOAD_TIME
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,15 +112,15 @@
         Predicted time to the first event once the replica holds the adapter.
     must_load : bool
         Whether the replica must load the adapter before the request is sent.
-    offer_number : int or None
-        Number of the offer by which the side process has permitted the prompt; None if
-        it was not asked.
+    admission_number : int or None
+        Number of the AdmissionRequest by which the prompt was admitted; None if no
+        admission was required.
     """
 
     candidate: Candidate
     wait: timedelta
     must_load: bool = False
-    offer_number: int | None = None
+    admission_number: int | None = None
 
 
 def rank_replicas(key, candidates):
--- a/libs/gateway/src/balsamspoke_gateway/selection.py
+++ b/libs/gateway/src/balsamspoke_gateway/selection.py
@@ -1,6 +1,5 @@
 """Selection of the replica for an attempt, and the wait for its adapter."""
 
-from dataclasses import replace
 from datetime import timedelta
 
 from balsamspoke_types.timing import add_timeout
@@ -14,8 +13,8 @@
     Overloaded,
     TimedOut,
 )
-from .messages import PromptDecision, PromptOffer
 from .placement import Choice, EngineRequirements, choose_engine, choose_plain
+from .prompt_admission import request_admission
 
 # Retry-after time of requests that are refused for lack of capacity.
 BUSY_RETRY_AFTER = timedelta(milliseconds=300)
@@ -27,11 +26,9 @@
 # After this many consecutive timeouts at a replica, its queue position there no longer
 # favours it over other replicas.
 MAX_ADAPTER_TIMEOUTS = 3
-# Approximate time to load an adapter and to read a prompt.
-ADAPTER_LOAD_TIME = timedelta(milliseconds=400)
 # Latency objectives for which a request waits for an adapter. Callers give up soon
 # afterwards, and one that is told to return may find a free slot.
-PATIENCE_OBJECTIVES = 2.5
+MAX_WAIT_OBJECTIVES = 2.5
 # A request is refused if its predicted wait exceeds this fraction of the route's
 # latency objective.
 ADMISSION_RATIO = 1.0
@@ -70,7 +67,7 @@
             if choice.must_load and not await self._wait_for_adapter(choice):
                 self._progress.record_adapter_timeout(choice.candidate.record.id)
                 continue
-            choice = await self._wait_for_permission(choice)
+            choice = await request_admission(self._forwarding, choice)
             if self._context.fleet.is_available(choice.candidate.record):
                 return choice
 
@@ -141,86 +138,38 @@
 
     async def _wait_for_adapter(self, choice):
         """Return whether a replica has loaded the adapter within the time limit."""
-        forwarding, record = self._forwarding, choice.candidate.record
+        record = choice.candidate.record
         target = self._request.prompt.target
         wanted = make_wanted_adapter(target, self._context.versions.find(target))
-        due = forwarding.started_at + forwarding.route.objective - ADAPTER_LOAD_TIME
+        due = self._compute_load_deadline(choice)
         waiter = self._context.demands.wait_for(record.id, wanted, due)
         self._context.send_demand(record)
-        timeout = min(ADAPTER_TIMEOUT, self._find_patience())
+        timeout = min(ADAPTER_TIMEOUT, self._compute_wait_left())
         try:
             await add_timeout(waiter, self._context.clock, timeout, AnswerOverdue())
         except AnswerOverdue:
-            if self._find_patience() <= NO_DELAY:
+            if self._compute_wait_left() <= NO_DELAY:
                 raise self._make_timeout_error()
             return False
         return True
 
-    def _find_patience(self):
+    def _compute_load_deadline(self, choice):
+        """Return the time until which a load must begin to meet the objective."""
+        forwarding = self._forwarding
+        remaining = choice.candidate.load_time + choice.wait
+        return forwarding.started_at + forwarding.route.objective - remaining
+
+    def _compute_wait_left(self):
         """Return the timedelta for which the request may still wait for an adapter."""
         forwarding = self._forwarding
         time_left = forwarding.time_left()
         if self._progress.possible_runs:
             return time_left
         latest = (
-            forwarding.started_at + PATIENCE_OBJECTIVES * forwarding.route.objective
+            forwarding.started_at + MAX_WAIT_OBJECTIVES * forwarding.route.objective
         )
         return min(time_left, latest - self._context.clock.monotonic())
 
-    async def _wait_for_permission(self, choice):
-        """Wait until the side process of a replica permits the prompt to be sent.
-
-        Returns
-        -------
-        Choice
-            The same choice, with the number of the offer if there was one.
-
-        Raises
-        ------
-        Overloaded
-            If the replica cannot read the prompt in time.
-        """
-        record, load = choice.candidate.record, choice.candidate.load
-        state = self._context.fleet.find_state(record)
-        is_needed = state is not None and state.schedules_prompts
-        if not is_needed or self._progress.possible_runs:
-            return choice
-        prompt = self._request.prompt
-        offer = self._make_offer(choice)
-        load.scheduled_tokens += offer.tokens
-        self._context.demands.record_start(record.id, prompt.target)
-        try:
-            offers = self._context.prompt_offers
-            answer = await offers.wait_for_permission(record.ip, offer)
-        finally:
-            load.scheduled_tokens -= offer.tokens
-            self._context.demands.record_end(record.id, prompt.target)
-        if answer is not None and answer.decision is not PromptDecision.START:
-            wait = timedelta(seconds=answer.wait)
-            raise Overloaded(
-                f"the replica reads no prompt within {offer.patience:.3f} s: "
-                f"a wait of {answer.wait:.3f} s is predicted",
-                max(BUSY_RETRY_AFTER, wait),
-            )
-        return replace(choice, offer_number=offer.number)
-
-    def _make_offer(self, choice):
-        forwarding, record = self._forwarding, choice.candidate.record
-        prompt, route = self._request.prompt, forwarding.route
-        cached = self._context.prefix_tracker.count_cached_tokens(prompt, record.id)
-        tokens = max(1, prompt.tokens - cached)
-        reading_time = tokens * choice.candidate.load.seconds_per_token
-        elapsed = self._context.clock.monotonic() - forwarding.started_at
-        time_to_objective = (route.objective - elapsed).total_seconds() - reading_time
-        patience = min(forwarding.time_left(), ADMISSION_RATIO * route.objective)
-        return PromptOffer(
-            self._context.prompt_offers.make_number(),
-            tokens,
-            forwarding.priority,
-            time_to_objective,
-            patience.total_seconds(),
-        )
-
     def _make_timeout_error(self):
         if self._progress.possible_runs:
             return TimedOut("the time for the answer is over")
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -5,19 +5,19 @@
 
 from twisted.internet.defer import Deferred
 
+from .adapter_load_times import AdapterLoadTimes
 from .adapters import AdapterPlan
-from .exceptions import AttemptError
-from .messages import (
-    EntryDemand,
-    PromptOffer,
-    PromptRead,
-    PromptWithdrawal,
-    ReplicaState,
+from .admission_controller import AdmissionController
+from .admission_messages import (
+    AdmissionCancellation,
+    AdmissionRequest,
+    PrefillEnded,
 )
+from .exceptions import AttemptError
+from .messages import EntryDemand, ReplicaState
 from .model_loads import ModelLoadMonitor
 from .observing import OrderGiven
 from .pacing import MIN_INTERVAL, choose_interval
-from .prompt_admission import PromptAdmission
 from .reachability import Reachability
 
 # Interval of reading the replica's report; calls within a VM are not billed.
@@ -67,8 +67,9 @@
         self._reachability = Reachability(_REPLICA, clock, observer)
         self._last_sent = {}
         self._wakeup = None
+        self._load_times = AdapterLoadTimes()
         self._model_loads = ModelLoadMonitor()
-        self._prompts = PromptAdmission(clock, peers, observer)
+        self._admission = AdmissionController(clock, peers, observer)
 
     @property
     def report_age(self):
@@ -76,9 +77,9 @@
         return self._reachability.silence
 
     @property
-    def pending_prompt_tokens(self):
-        """Tokens of the prompts that wait to be sent to the replica."""
-        return self._prompts.pending_tokens
+    def queued_prompt_tokens(self):
+        """Tokens of the prompts that wait for admission."""
+        return self._admission.queued_tokens
 
     def start(self):
         """Start the control loop; return its Deferred."""
@@ -86,20 +87,20 @@
 
     def receive_message(self, ip, message):
         """Process a message from the entry process at an IP address."""
-        if isinstance(message, PromptOffer):
-            self._prompts.receive_offer(ip, message)
-        elif isinstance(message, PromptRead):
-            self._prompts.receive_read(ip, message)
-        elif isinstance(message, PromptWithdrawal):
-            self._prompts.receive_withdrawal(ip, message)
+        if isinstance(message, AdmissionRequest):
+            self._admission.receive_request(ip, message)
+        elif isinstance(message, PrefillEnded):
+            self._admission.receive_prefill_end(ip, message)
+        elif isinstance(message, AdmissionCancellation):
+            self._admission.receive_cancellation(ip, message)
         elif isinstance(message, EntryDemand):
             self._receive_demand(ip, message)
 
     def _receive_demand(self, ip, message):
         is_new = not self._plan.has_demand(ip)
         self._plan.record_demand(ip, message, self._clock.monotonic())
-        pause_limit = timedelta(seconds=message.pause_limit)
-        self._prompts.record_pauses(message.long_pauses, pause_limit)
+        max_event_interval = timedelta(seconds=message.max_event_interval)
+        self._admission.record_late_events(message.late_events, max_event_interval)
         if message.wanted or is_new:
             self.wake()
 
@@ -136,7 +137,9 @@
             self._reachability.record_failure(error)
             return False
         self._reachability.record_answer()
-        self._model_loads.record_report(self._report, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._model_loads.record_report(self._report, now)
+        self._load_times.record_report(self._report, now)
         self._send_states()
         engine = self._find_engine()
         if engine is None:
@@ -200,8 +203,9 @@
                 in_flight - demand.in_flight,
                 unread - demand.unread_tokens,
                 interval.total_seconds(),
-                self._prompts.pending_tokens,
-                self._prompts.is_needed,
+                self._admission.queued_tokens,
+                self._admission.is_required,
+                self._load_times.estimate.total_seconds(),
                 model_wait.total_seconds(),
             )
             self._peers.send(entry, state)
--- a/libs/gateway/tests/test_prompts.py
+++ b/libs/gateway/tests/test_admission.py
@@ -1,4 +1,4 @@
-"""Prompts that wait at the side process until their replica may read them."""
+"""Admission of prompts at the side process, while prefill makes events late."""
 
 import random
 import unittest
@@ -7,29 +7,30 @@
 
 from balsamspoke_fakes import VirtualClock, VirtualTime
 from balsamspoke_fakes.properties import examples
-from balsamspoke_gateway.exceptions import Overloaded
-from balsamspoke_gateway.loads import INITIAL_SECONDS_PER_TOKEN
-from balsamspoke_gateway.messages import (
-    PromptAnswer,
-    PromptDecision,
-    PromptOffer,
-    PromptRead,
-    PromptWithdrawal,
+from balsamspoke_gateway.admission_controller import AdmissionController
+from balsamspoke_gateway.admission_messages import (
+    AdmissionCancellation,
+    AdmissionReply,
+    AdmissionRequest,
+    AdmissionStatus,
+    PrefillEnded,
 )
-from balsamspoke_gateway.pauses import PACING_TIME, PauseMonitor, is_long_pause
-from balsamspoke_gateway.prompt_admission import PromptAdmission
-from balsamspoke_gateway.prompt_schedule import (
-    PendingPrompt,
-    PromptSchedule,
-    ReadingPace,
+from balsamspoke_gateway.admission_queue import AdmissionQueue, QueuedPrompt
+from balsamspoke_gateway.exceptions import Overloaded
+from balsamspoke_gateway.late_events import (
+    RATE_LIMIT_TIME,
+    LateEventMonitor,
+    is_late_event,
 )
-from balsamspoke_gateway.reading_speed import ReadingSpeed
+from balsamspoke_gateway.loads import INITIAL_SECONDS_PER_TOKEN
+from balsamspoke_gateway.prefill_rate_limit import PrefillRateLimit
+from balsamspoke_gateway.prefill_speed import PrefillSpeed
 from hypothesis import given
 from hypothesis import strategies as st
 
 from .world import Answer, RecordedObserver, RecordedPeers, World, make_record
 
-PACE = ReadingPace(timedelta(seconds=0.3), 4_500)
+RATE_LIMIT = PrefillRateLimit(timedelta(seconds=0.3), 4_500)
 ENTRY = "10.0.1.1"
 
 
@@ -38,23 +39,21 @@
 
 
 def make_prompt(number, tokens, due=1.0, expires=10.0, priority=1):
-    """Return a PendingPrompt with times in seconds."""
-    return PendingPrompt(
-        ENTRY, number, tokens, priority, seconds(due), seconds(expires)
-    )
+    """Return a QueuedPrompt with times in seconds."""
+    return QueuedPrompt(ENTRY, number, tokens, priority, seconds(due), seconds(expires))
 
 
-class ScheduleTests(unittest.TestCase):
+class AdmissionQueueTests(unittest.TestCase):
     def setUp(self):
-        self.schedule = PromptSchedule()
+        self.queue = AdmissionQueue()
 
-    def start_all(self, pace, until=10.0):
+    def start_all(self, rate_limit, until=10.0):
         """Return the start time in seconds of each prompt, by its number."""
         now, starts = seconds(0), {}
         while now <= seconds(until):
-            for prompt in self.schedule.advance(pace, now).started:
+            for prompt in self.queue.advance(rate_limit, now).admitted:
                 starts[prompt.number] = now.total_seconds()
-            now_or_none = self.schedule.find_next_time(pace, now)
+            now_or_none = self.queue.find_next_time(rate_limit, now)
             if now_or_none is None:
                 break
             now = max(now_or_none, now + seconds(0.001))
@@ -62,41 +61,41 @@
 
     @examples(100)
     @given(st.lists(st.integers(1, 6_000), max_size=30))
-    def test_no_window_gets_more_than_the_pace_but_for_one_long_prompt(self, sizes):
-        schedule = PromptSchedule()
-        self.schedule = schedule
+    def test_no_window_gets_more_than_the_limit_but_for_one_long_prompt(self, sizes):
+        queue = AdmissionQueue()
+        self.queue = queue
         for number, tokens in enumerate(sizes):
-            schedule.add(make_prompt(number, tokens, expires=1_000))
-        starts = self.start_all(PACE, until=1_000)
+            queue.add(make_prompt(number, tokens, expires=1_000))
+        starts = self.start_all(RATE_LIMIT, until=1_000)
         self.assertEqual(len(starts), len(sizes))
         for begin in starts.values():
             sent = [
                 sizes[number]
                 for number, start in starts.items()
-                if begin <= start < begin + PACE.window.total_seconds() - 1e-6
+                if begin <= start < begin + RATE_LIMIT.window.total_seconds() - 1e-6
             ]
-            self.assertTrue(sum(sent) <= PACE.tokens or len(sent) == 1, sent)
+            self.assertTrue(sum(sent) <= RATE_LIMIT.tokens or len(sent) == 1, sent)
 
-    def test_nothing_waits_without_a_pause_limit(self):
+    def test_nothing_waits_without_a_rate_limit(self):
         for number in range(20):
-            self.schedule.add(make_prompt(number, 5_000))
+            self.queue.add(make_prompt(number, 5_000))
         self.assertEqual(set(self.start_all(None).values()), {0.0})
 
     def test_urgent_prompts_start_first_and_late_ones_last(self):
-        self.schedule.add(make_prompt(1, 4_000, due=-0.1))
-        self.schedule.add(make_prompt(2, 4_000, due=0.9))
-        self.schedule.add(make_prompt(3, 4_000, due=0.8))
-        self.schedule.add(make_prompt(4, 4_000, due=5.0, priority=0))
-        starts = self.start_all(PACE)
+        self.queue.add(make_prompt(1, 4_000, due=-0.1))
+        self.queue.add(make_prompt(2, 4_000, due=0.9))
+        self.queue.add(make_prompt(3, 4_000, due=0.8))
+        self.queue.add(make_prompt(4, 4_000, due=5.0, priority=0))
+        starts = self.start_all(RATE_LIMIT)
         self.assertEqual(sorted(starts, key=starts.get), [4, 3, 2, 1])
 
-    def test_refuses_what_has_waited_in_vain(self):
+    def test_rejects_what_has_expired(self):
         for number in range(9):
-            self.schedule.add(make_prompt(number, 4_500, expires=1.0))
-        self.schedule.advance(PACE, seconds(0))
-        step = self.schedule.advance(PACE, seconds(1))
-        self.assertEqual(len(step.refused), 8)
-        self.assertEqual(self.schedule.pending_tokens, 0)
+            self.queue.add(make_prompt(number, 4_500, expires=1.0))
+        self.queue.advance(RATE_LIMIT, seconds(0))
+        step = self.queue.advance(RATE_LIMIT, seconds(1))
+        self.assertEqual(len(step.rejected), 8)
+        self.assertEqual(self.queue.tokens, 0)
 
 
 class SlowEngine:
@@ -104,7 +103,7 @@
 
     Attributes
     ----------
-    longest_pauses : list of float
+    longest_intervals : list of float
         Longest pause in seconds between two events of each stream that has ended.
     """
 
@@ -117,7 +116,7 @@
         self.now = 0.0
         self.unread = []
         self.streams = []
-        self.longest_pauses = []
+        self.longest_intervals = []
 
     def send(self, tokens, output):
         self.unread.append([tokens, output])
@@ -149,159 +148,166 @@
             stream[1:] = 0, self.now, max(stream[3], self.now - stream[2])
         if stream[0] == 0:
             self.streams.remove(stream)
-            self.longest_pauses.append(stream[3])
+            self.longest_intervals.append(stream[3])
 
 
 class SlowEngineTests(unittest.TestCase):
     """Load pattern: long prompts at two thirds of the engine's reading speed."""
 
-    PAUSE_LIMIT = 0.3
+    MAX_EVENT_INTERVAL = 0.3
 
-    def play(self, use_schedule):
+    def play(self, limits_prefill):
         """Return the fraction of streams with a pause beyond the limit."""
         source = random.Random(7)
-        engine, schedule = SlowEngine(), PromptSchedule()
-        pace = ReadingPace.choose(seconds(self.PAUSE_LIMIT), 6e-5)
+        engine, queue = SlowEngine(), AdmissionQueue()
+        rate_limit = PrefillRateLimit.compute(seconds(self.MAX_EVENT_INTERVAL), 6e-5)
         next_arrival, number = 0.0, 0
         while number < 600:
             engine.step()
             while next_arrival <= engine.now:
                 number += 1
                 tokens = source.randint(900, 2_000)
-                schedule.add(make_prompt(number, tokens, 1e6, 1e6))
+                queue.add(make_prompt(number, tokens, 1e6, 1e6))
                 next_arrival += source.expovariate(0.63 * 19_100 / 1_450)
-            step = schedule.advance(pace if use_schedule else None, seconds(engine.now))
-            for prompt in step.started:
+            step = queue.advance(
+                rate_limit if limits_prefill else None, seconds(engine.now)
+            )
+            for prompt in step.admitted:
                 engine.send(prompt.tokens, 171)
-        late = [each for each in engine.longest_pauses if each > self.PAUSE_LIMIT]
-        return len(late) / len(engine.longest_pauses)
+        late = [
+            each for each in engine.longest_intervals if each > self.MAX_EVENT_INTERVAL
+        ]
+        return len(late) / len(engine.longest_intervals)
 
-    def test_streams_pause_too_long_without_a_schedule(self):
-        self.assertGreater(self.play(use_schedule=False), 0.3)
+    def test_events_are_late_without_admission_control(self):
+        self.assertGreater(self.play(limits_prefill=False), 0.3)
 
-    def test_scheduled_prompts_leave_the_streams_their_pauses(self):
-        self.assertLess(self.play(use_schedule=True), 0.02)
+    def test_admitted_prompts_leave_events_on_time(self):
+        self.assertLess(self.play(limits_prefill=True), 0.02)
 
 
-class PauseMonitorTests(unittest.TestCase):
+class LateEventMonitorTests(unittest.TestCase):
     LIMIT = seconds(0.3)
 
     def find_limit(self, *counts, after=1.0):
         """Return the limit some time after messages that count long pauses."""
-        monitor = PauseMonitor()
+        monitor = LateEventMonitor()
         for number, count in enumerate(counts):
-            monitor.record_pauses(count, self.LIMIT, seconds(0.2 * number))
+            monitor.record_late_events(count, self.LIMIT, seconds(0.2 * number))
         return monitor.find_limit(seconds(after))
 
-    def test_single_long_pauses_do_not_pace_prompts(self):
+    def test_single_late_events_limit_nothing(self):
         self.assertIsNone(self.find_limit(1, 0, 1))
         self.assertIsNone(self.find_limit(*[1, *[0] * 25] * 10, after=60))
 
-    def test_long_pauses_of_several_streams_pace_prompts_for_a_minute(self):
+    def test_late_events_of_several_streams_limit_prefill_for_a_minute(self):
         self.assertEqual(self.find_limit(1, 2), self.LIMIT)
         self.assertEqual(self.find_limit(4, after=59), self.LIMIT)
         self.assertIsNone(self.find_limit(4, after=61))
 
-    def test_a_replica_that_hangs_shows_nothing_of_the_reading(self):
-        self.assertTrue(is_long_pause(seconds(0.35), self.LIMIT))
-        self.assertFalse(is_long_pause(seconds(0.3), self.LIMIT))
-        self.assertFalse(is_long_pause(seconds(4), self.LIMIT))
+    def test_a_replica_that_hangs_shows_nothing_of_its_prefill(self):
+        self.assertTrue(is_late_event(seconds(0.35), self.LIMIT))
+        self.assertFalse(is_late_event(seconds(0.3), self.LIMIT))
+        self.assertFalse(is_late_event(seconds(4), self.LIMIT))
 
 
-class ReadingSpeedTests(unittest.TestCase):
-    def test_prompts_read_in_one_step_count_together(self):
+class PrefillSpeedTests(unittest.TestCase):
+    def test_prompts_prefilled_in_one_step_count_together(self):
         # Three short prompts are read in one step of 60 ms, one after another in steps
         # of 30 ms each: the engine can read 32 tokens in a millisecond.
-        speed = ReadingSpeed()
+        speed = PrefillSpeed()
         for number in range(60):
             now = seconds(number)
             for part in range(3):
                 speed.record_sent((number, part), 640, now)
             for part in range(3):
-                speed.record_read((number, part), now + seconds(0.06))
+                speed.record_ended((number, part), now + seconds(0.06))
         self.assertAlmostEqual(speed.seconds_per_token, 0.06 / (3 * 640))
 
     def test_queued_prompts_count_from_the_end_of_the_previous_one(self):
-        speed = ReadingSpeed()
+        speed = PrefillSpeed()
         for number in range(20):
             speed.record_sent(number, 2_000, seconds(0))
         for number in range(20):
-            speed.record_read(number, seconds(0.1 * (number + 1)))
+            speed.record_ended(number, seconds(0.1 * (number + 1)))
         self.assertAlmostEqual(speed.seconds_per_token, 0.1 / 2_000)
 
     def test_a_stall_and_unknown_prompts_hardly_move_the_estimate(self):
         source = random.Random(3)
-        speed = ReadingSpeed()
+        speed = PrefillSpeed()
         for number in range(100):
             is_disturbed = source.random() < 0.5
             waited = 0.1 * (source.uniform(1.2, 30.0) if is_disturbed else 1.0)
             speed.record_sent(number, 2_000, seconds(10 * number))
-            speed.record_read(number, seconds(10 * number + waited))
+            speed.record_ended(number, seconds(10 * number + waited))
         self.assertAlmostEqual(speed.seconds_per_token, 0.1 / 2_000, delta=1e-5)
 
 
-class AdmissionTests(unittest.TestCase):
+class AdmissionControllerTests(unittest.TestCase):
     def setUp(self):
         self.time = VirtualTime()
         self.peers = RecordedPeers()
         self.observer = RecordedObserver()
-        self.admission = PromptAdmission(
+        self.admission = AdmissionController(
             VirtualClock(self.time), self.peers, self.observer
         )
-        self.admission.record_pauses(3, PACE.window)
-        self.tokens = ReadingPace.choose(PACE.window, INITIAL_SECONDS_PER_TOKEN).tokens
+        self.admission.record_late_events(3, RATE_LIMIT.window)
+        self.tokens = PrefillRateLimit.compute(
+            RATE_LIMIT.window, INITIAL_SECONDS_PER_TOKEN
+        ).tokens
 
-    def offer(self, number, part=0.9, patience=1.0):
+    def request(self, number, part=0.9, max_wait=1.0):
         """Offer a prompt that takes a part of what may be sent in a window."""
-        offer = PromptOffer(number, round(part * self.tokens), 1, 0.5, patience)
-        self.admission.receive_offer(ENTRY, offer)
+        offer = AdmissionRequest(number, round(part * self.tokens), 1, 0.5, max_wait)
+        self.admission.receive_request(ENTRY, offer)
 
-    def list_answers(self, number):
+    def list_statuses(self, number):
         messages = [message for _, message in self.peers.sent]
-        return [each.decision for each in messages if each.number == number]
+        return [each.status for each in messages if each.number == number]
 
     def test_answers_each_offer_at_once_and_again_when_it_may_start(self):
-        self.offer(1)
-        self.offer(2)
-        self.assertEqual(self.list_answers(1), [PromptDecision.START])
-        self.assertEqual(self.list_answers(2), [PromptDecision.WAIT])
+        self.request(1)
+        self.request(2)
+        self.assertEqual(self.list_statuses(1), [AdmissionStatus.ADMITTED])
+        self.assertEqual(self.list_statuses(2), [AdmissionStatus.QUEUED])
         self.time.advance(seconds(0.31))
         self.assertEqual(
-            self.list_answers(2), [PromptDecision.WAIT, PromptDecision.START]
+            self.list_statuses(2), [AdmissionStatus.QUEUED, AdmissionStatus.ADMITTED]
         )
 
     def test_refuses_at_once_what_cannot_start_in_time(self):
         for number in range(1, 4):
-            self.offer(number, patience=0.5)
-        self.assertEqual(self.list_answers(3), [PromptDecision.REFUSE])
+            self.request(number, max_wait=0.5)
+        self.assertEqual(self.list_statuses(3), [AdmissionStatus.REJECTED])
         answer = self.peers.sent[-1][1]
         self.assertAlmostEqual(answer.wait, 0.3 + 0.3 * 0.9, places=3)
 
-    def test_repeats_a_lost_permission_without_counting_the_prompt_twice(self):
-        self.offer(1, 0.4)
-        self.offer(1, 0.4)
-        self.offer(2, 0.4)
-        self.assertEqual(self.list_answers(1), [PromptDecision.START] * 2)
-        self.assertEqual(self.list_answers(2), [PromptDecision.START])
-
-    def test_reports_when_prompts_begin_and_cease_to_be_paced(self):
-        self.assertTrue(self.admission.is_needed)
-        self.time.advance(PACING_TIME)
-        self.assertFalse(self.admission.is_needed)
+    def test_repeats_a_lost_reply_without_counting_the_prompt_twice(self):
+        self.request(1, 0.4)
+        self.request(1, 0.4)
+        self.request(2, 0.4)
+        self.assertEqual(self.list_statuses(1), [AdmissionStatus.ADMITTED] * 2)
+        self.assertEqual(self.list_statuses(2), [AdmissionStatus.ADMITTED])
+
+    def test_reports_when_prefill_begins_and_ceases_to_be_limited(self):
+        self.assertTrue(self.admission.is_required)
+        self.time.advance(RATE_LIMIT_TIME)
+        self.assertFalse(self.admission.is_required)
         self.assertEqual(
-            [each.pause_limit for each in self.observer.events], [PACE.window, None]
+            [each.max_event_interval for each in self.observer.events],
+            [RATE_LIMIT.window, None],
         )
 
-    def test_a_withdrawn_prompt_gives_way(self):
-        self.offer(1)
-        self.offer(2)
-        self.admission.receive_withdrawal(ENTRY, PromptWithdrawal(2))
+    def test_a_cancelled_prompt_gives_way(self):
+        self.request(1)
+        self.request(2)
+        self.admission.receive_cancellation(ENTRY, AdmissionCancellation(2))
         self.time.advance(seconds(0.31))
-        self.assertEqual(self.list_answers(2), [PromptDecision.WAIT])
-        self.assertEqual(self.admission.pending_tokens, 0)
+        self.assertEqual(self.list_statuses(2), [AdmissionStatus.QUEUED])
+        self.assertEqual(self.admission.queued_tokens, 0)
 
 
-class EntryTests(unittest.TestCase):
+class EntryAdmissionTests(unittest.TestCase):
     def setUp(self):
         self.world = World()
         self.record = make_record("a", "engines")
@@ -309,85 +315,85 @@
         self.tell_state()
 
     def tell_state(self):
-        self.world.tell_state(self.record, {"a1": 1}, schedules_prompts=True)
+        self.world.tell_state(self.record, {"a1": 1}, requires_admission=True)
 
-    def list_offers(self):
+    def list_requests(self):
         sent = [message for _, message in self.world.peers.sent]
-        return [each for each in sent if isinstance(each, PromptOffer)]
+        return [each for each in sent if isinstance(each, AdmissionRequest)]
 
-    def answer(self, decision, wait=0.0):
-        number = self.list_offers()[-1].number
-        answer = PromptAnswer(number, decision, wait)
-        self.world.context.prompt_offers.record_answer(answer)
+    def reply(self, decision, wait=0.0):
+        number = self.list_requests()[-1].number
+        answer = AdmissionReply(number, decision, wait)
+        self.world.context.admission_client.record_reply(answer)
 
-    def list_withdrawals(self):
+    def list_cancellations(self):
         sent = [message for _, message in self.world.peers.sent]
-        return [each for each in sent if isinstance(each, PromptWithdrawal)]
+        return [each for each in sent if isinstance(each, AdmissionCancellation)]
 
     def test_sends_a_prompt_once_it_may_start(self):
         self.world.send("stream", "a1", tokens=700)
-        self.assertEqual([each.tokens for each in self.list_offers()], [700])
-        self.answer(PromptDecision.WAIT, 0.2)
+        self.assertEqual([each.tokens for each in self.list_requests()], [700])
+        self.reply(AdmissionStatus.QUEUED, 0.2)
         self.assertEqual(self.world.client.sent, [])
-        self.answer(PromptDecision.START)
+        self.reply(AdmissionStatus.ADMITTED)
         self.assertEqual(len(self.world.client.sent), 1)
-        self.assertEqual(self.list_withdrawals(), [])
+        self.assertEqual(self.list_cancellations(), [])
 
-    def test_reports_the_first_event_of_a_permitted_prompt(self):
+    def test_reports_the_first_event_of_an_admitted_prompt(self):
         self.world.client.script("a", Answer(pieces=[b"id:1\ndata:x\n\n"]))
         self.world.send("stream", "a1")
-        self.answer(PromptDecision.START)
-        number = self.list_offers()[-1].number
-        self.assertIn((self.record.ip, PromptRead(number)), self.world.peers.sent)
+        self.reply(AdmissionStatus.ADMITTED)
+        number = self.list_requests()[-1].number
+        self.assertIn((self.record.ip, PrefillEnded(number)), self.world.peers.sent)
 
     def test_sends_no_prompt_to_a_replica_that_began_to_leave_meanwhile(self):
         other = make_record("b", "engines", number=2)
         self.world.send("stream", "a1")
-        self.answer(PromptDecision.WAIT, 0.5)
+        self.reply(AdmissionStatus.QUEUED, 0.5)
         self.world.add(replace(self.record, is_leaving=True), other)
         self.world.tell_state(other, {"a1": 1})
-        self.answer(PromptDecision.START)
+        self.reply(AdmissionStatus.ADMITTED)
         self.assertEqual([name for name, _ in self.world.client.sent], ["b"])
 
     def test_refuses_at_once_and_says_when_to_return(self):
         sink, _ = self.world.send("stream", "a1")
-        self.answer(PromptDecision.REFUSE, 1.5)
+        self.reply(AdmissionStatus.REJECTED, 1.5)
         self.assertIsInstance(sink.refusal, Overloaded)
         self.assertEqual(sink.refusal.retry_after, seconds(1.5))
         self.assertEqual(self.world.client.sent, [])
 
-    def test_repeats_an_unanswered_offer_and_then_sends_without_permission(self):
+    def test_repeats_an_unanswered_request_and_then_sends_without_admission(self):
         self.world.send("stream", "a1")
         self.world.pass_time(0.13)
-        self.assertEqual(len(self.list_offers()), 3)
+        self.assertEqual(len(self.list_requests()), 3)
         self.assertEqual(len(self.world.client.sent), 1)
 
-    def test_repeats_the_offer_of_a_prompt_that_waits(self):
+    def test_repeats_the_request_of_a_queued_prompt(self):
         self.world.send("stream", "a1")
-        self.answer(PromptDecision.WAIT, 0.5)
+        self.reply(AdmissionStatus.QUEUED, 0.5)
         self.world.pass_time(0.25)
-        self.assertEqual(len(self.list_offers()), 2)
+        self.assertEqual(len(self.list_requests()), 2)
         self.assertEqual(self.world.client.sent, [])
 
     def test_refuses_a_prompt_that_waits_beyond_its_time(self):
         sink, _ = self.world.send("stream", "a1")
         for _ in range(8):
-            self.answer(PromptDecision.WAIT, 0.5)
+            self.reply(AdmissionStatus.QUEUED, 0.5)
             self.world.pass_time(0.1)
         self.assertIsInstance(sink.refusal, Overloaded)
         self.assertEqual(self.world.client.sent, [])
-        self.assertEqual(len(self.list_withdrawals()), 1)
+        self.assertEqual(len(self.list_cancellations()), 1)
 
-    def test_withdraws_the_offer_of_a_caller_that_left(self):
+    def test_cancels_the_request_of_a_caller_that_left(self):
         _, running = self.world.send("stream", "a1")
-        self.answer(PromptDecision.WAIT, 0.5)
+        self.reply(AdmissionStatus.QUEUED, 0.5)
         running.cancel()
-        self.assertEqual(len(self.list_withdrawals()), 1)
-        self.assertEqual(self.world.context.fleet.find_load("a").scheduled_tokens, 0)
+        self.assertEqual(len(self.list_cancellations()), 1)
+        self.assertEqual(self.world.context.fleet.find_load("a").queued_tokens, 0)
 
     def test_a_waiting_prompt_keeps_its_adapter_in_use(self):
         self.world.send("stream", "a1")
-        self.answer(PromptDecision.WAIT, 0.5)
+        self.reply(AdmissionStatus.QUEUED, 0.5)
         load = self.world.context.fleet.find_load("a")
         demands = self.world.context.demands
         message = demands.make_message("a", load, seconds(0.2), seconds(0))
--- a/libs/transport/src/balsamspoke_transport/datagrams.py
+++ b/libs/transport/src/balsamspoke_transport/datagrams.py
@@ -1,14 +1,12 @@
 """Messages between the system's processes over UDP, one message per datagram."""
 
-from balsamspoke_gateway.messages import (
-    EntryDemand,
-    EntryUsage,
-    PromptAnswer,
-    PromptOffer,
-    PromptRead,
-    PromptWithdrawal,
-    ReplicaState,
+from balsamspoke_gateway.admission_messages import (
+    AdmissionCancellation,
+    AdmissionReply,
+    AdmissionRequest,
+    PrefillEnded,
 )
+from balsamspoke_gateway.messages import EntryDemand, EntryUsage, ReplicaState
 from balsamspoke_gateway.ports import PeerSender
 from loguru import logger
 from msgspec import DecodeError, ValidationError, msgpack
@@ -20,10 +18,10 @@
     EntryDemand: 1,
     ReplicaState: 2,
     EntryUsage: 3,
-    PromptOffer: 4,
-    PromptWithdrawal: 5,
-    PromptAnswer: 6,
-    PromptRead: 7,
+    AdmissionRequest: 4,
+    AdmissionCancellation: 5,
+    AdmissionReply: 6,
+    PrefillEnded: 7,
 }
 _DECODERS = {number: msgpack.Decoder(kind) for kind, number in _TYPE_NUMBERS.items()}
 
