--- a/libs/gateway/tests/test_adapters.py
+++ b/libs/gateway/tests/test_adapters.py
@@ -4,6 +4,10 @@
 from datetime import timedelta
 
 from balsamspoke_fakes.properties import examples
+from balsamspoke_gateway.adapter_load_times import (
+    INITIAL_LOAD_TIME,
+    AdapterLoadTimes,
+)
 from balsamspoke_gateway.adapters import AdapterPlan, EngineReport, OrderKind
 from balsamspoke_gateway.configuration import EngineLimits, EngineModel
 from balsamspoke_gateway.messages import EntryDemand, WantedAdapter
@@ -163,6 +167,25 @@
             self.assertLessEqual(len(held) + len(pending), ENGINE.adapter_slots)
 
 
+class AdapterLoadTimesTests(unittest.TestCase):
+    def test_follows_the_loads_that_reports_show(self):
+        # Load pattern: the weight store slows down as all replicas load at once.
+        load_times = AdapterLoadTimes()
+        for number in range(60):
+            name = f"a{number}"
+            pending = EngineReport(1, {MODEL: {}}, {f"{MODEL}/{name}": 0})
+            load_times.record_report(pending, seconds(number))
+            load_times.record_report(make_report(name), seconds(number + 0.75))
+        self.assertAlmostEqual(load_times.estimate.total_seconds(), 0.75, places=2)
+
+    def test_a_load_that_failed_is_no_sample(self):
+        load_times = AdapterLoadTimes()
+        pending = EngineReport(1, {MODEL: {}}, {f"{MODEL}/a1": 0})
+        load_times.record_report(pending, seconds(1))
+        load_times.record_report(EngineReport(2), seconds(9))
+        self.assertEqual(load_times.estimate, INITIAL_LOAD_TIME)
+
+
 class ScarceSlotsTests(unittest.TestCase):
     """Load pattern: twice as many adapters are requested as the slots can serve.
 
--- a/libs/gateway/tests/test_admission.py
+++ b/libs/gateway/tests/test_admission.py
@@ -104,7 +104,7 @@
     Attributes
     ----------
     longest_intervals : list of float
-        Longest pause in seconds between two events of each stream that has ended.
+        Longest interval in seconds between two events of each ended stream.
     """
 
     PIECE_TOKENS = 2_048
@@ -138,7 +138,7 @@
         self.now += self.STEP_SECONDS + pieces * self.SECONDS_PER_TOKEN
         for stream in list(self.streams):
             self._add_token(stream)
-        # Tokens left, tokens since the last event, its time, longest pause.
+        # Tokens left, tokens since the last event, its time, longest interval.
         self.streams += [[output, 0, self.now, 0.0] for output in read]
 
     def _add_token(self, stream):
@@ -157,7 +157,7 @@
     MAX_EVENT_INTERVAL = 0.3
 
     def play(self, limits_prefill):
-        """Return the fraction of streams with a pause beyond the limit."""
+        """Return the fraction of streams with a late event."""
         source = random.Random(7)
         engine, queue = SlowEngine(), AdmissionQueue()
         rate_limit = PrefillRateLimit.compute(seconds(self.MAX_EVENT_INTERVAL), 6e-5)
@@ -190,7 +190,7 @@
     LIMIT = seconds(0.3)
 
     def find_limit(self, *counts, after=1.0):
-        """Return the limit some time after messages that count long pauses."""
+        """Return the limit some time after messages that count late events."""
         monitor = LateEventMonitor()
         for number, count in enumerate(counts):
             monitor.record_late_events(count, self.LIMIT, seconds(0.2 * number))
@@ -258,14 +258,14 @@
 
     def request(self, number, part=0.9, max_wait=1.0):
         """Offer a prompt that takes a part of what may be sent in a window."""
-        offer = AdmissionRequest(number, round(part * self.tokens), 1, 0.5, max_wait)
-        self.admission.receive_request(ENTRY, offer)
+        request = AdmissionRequest(number, round(part * self.tokens), 1, 0.5, max_wait)
+        self.admission.receive_request(ENTRY, request)
 
     def list_statuses(self, number):
         messages = [message for _, message in self.peers.sent]
         return [each.status for each in messages if each.number == number]
 
-    def test_answers_each_offer_at_once_and_again_when_it_may_start(self):
+    def test_replies_to_each_request_at_once_and_again_on_admission(self):
         self.request(1)
         self.request(2)
         self.assertEqual(self.list_statuses(1), [AdmissionStatus.ADMITTED])
