Leave part of the limits' tolerance for messages on their way

Groups of processes that don't hear one another used four fifths of the tolerance, and what each group admits between two messages of its processes came on top. Change: the groups leave two message intervals of the rate. With few processes, or a large tolerance, nothing changes.

Also: a restarted entry process no longer repeats the numbers of its admission requests.

--- a/libs/gateway/src/balsamspoke_gateway/admission_client.py
+++ b/libs/gateway/src/balsamspoke_gateway/admission_client.py
@@ -16,6 +16,8 @@
 # The request for a queued prompt is repeated at this interval, as the reply that admits
 # it may be lost.
 QUEUED_REPEAT_INTERVAL = timedelta(milliseconds=200)
+# Range in which the number of a process's first request is drawn.
+NUMBER_RANGE = 2**31
 
 
 class AdmissionClient:
@@ -27,13 +29,16 @@
         Source of time and of timeouts.
     peers : PeerSender
         Sends the requests.
+    draw : callable
+        Returns a random number in [0, 1).
     """
 
-    def __init__(self, clock, peers):
+    def __init__(self, clock, peers, draw):
         self._clock = clock
         self._peers = peers
         self._waiters = {}
-        self._last_number = 0
+        # A side process remembers the numbers that it admitted before a restart.
+        self._last_number = int(draw() * NUMBER_RANGE)
 
     def make_number(self):
         """Return a number that no other request of this process has."""
--- a/libs/gateway/src/balsamspoke_gateway/context.py
+++ b/libs/gateway/src/balsamspoke_gateway/context.py
@@ -94,7 +94,7 @@
 
     def __post_init__(self):
         self.quotas = TeamQuotas(self.settings.quota_tolerance)
-        self.admission_client = AdmissionClient(self.clock, self.peers)
+        self.admission_client = AdmissionClient(self.clock, self.peers, self.draw)
         self.startup = StartupGate(self.clock)
 
     def find_retry_budget(self, service):
--- a/libs/gateway/src/balsamspoke_gateway/quotas.py
+++ b/libs/gateway/src/balsamspoke_gateway/quotas.py
@@ -5,7 +5,7 @@
 
 from .exceptions import OverLimit
 from .messages import EntryUsage
-from .pacing import MIN_LIFETIME
+from .pacing import MIN_LIFETIME, choose_interval
 
 # A peer that sent no message for this long is assumed to have ended. VMs are
 # partitioned for shorter times, so a peer that still serves requests keeps its share.
@@ -16,6 +16,9 @@
 # Fraction of the tolerance that partitioned groups of processes may use; the rest
 # covers what is admitted before the partition is detected.
 USABLE_TOLERANCE_RATIO = 0.8
+# Message intervals for which each group may over-admit the whole rate before its
+# processes hear of one another. Partitioned groups leave that part of the tolerance.
+RESERVED_INTERVALS = 2
 # Fraction of the gap to the mean of all bucket levels that a process closes in one
 # message interval.
 AVERAGING_RATIO = 0.5
@@ -39,11 +42,22 @@
     part: float = 0.0
     tokens: float = 0.0
 
-    def compute_excess_rate(self, team):
-        """Return the tokens a second that a Team may get beyond its limit."""
+    def compute_usable_rate(self, team, message_interval):
+        """Return the tokens a second by which partitioned groups may exceed a limit.
+
+        Parameters
+        ----------
+        team : Team
+            Team with the limit.
+        message_interval : timedelta
+            Time between the messages of a process to its peers.
+        """
         seconds = self.window.total_seconds()
         allowed = team.rate * seconds + team.burst
-        return (allowed * self.part + self.tokens) / seconds
+        excess = allowed * self.part + self.tokens
+        reserve = RESERVED_INTERVALS * message_interval.total_seconds() * team.rate
+        usable = min(USABLE_TOLERANCE_RATIO * excess, excess - reserve)
+        return max(0.0, usable) / seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -265,7 +279,8 @@
     def _refill(self, team, now):
         """Return the team's bucket, refilled at this group's share of the limit."""
         share = self._compute_share(now)
-        tolerated = USABLE_TOLERANCE_RATIO * self._tolerance.compute_excess_rate(team)
+        interval = choose_interval(len(self._last_received))
+        tolerated = self._tolerance.compute_usable_rate(team, interval)
         rate = min(team.rate, share * (team.rate + tolerated))
         burst = share * team.burst
         bucket = self._buckets.get(team.name)
--- a/libs/gateway/src/balsamspoke_gateway/selection.py
+++ b/libs/gateway/src/balsamspoke_gateway/selection.py
@@ -26,8 +26,8 @@
 # After this many consecutive timeouts at a replica, its queue position there no longer
 # favours it over other replicas.
 MAX_ADAPTER_TIMEOUTS = 3
-# Latency objectives for which a request waits for an adapter. Callers give up soon
-# afterwards, and one that is told to return may find a free slot.
+# Latency objectives for which a request waits for an adapter. A caller that is told to
+# return may find a free slot then, instead of giving up without an answer.
 MAX_WAIT_OBJECTIVES = 2.5
 # A request is refused if its predicted wait exceeds this fraction of the route's
 # latency objective.
--- a/libs/gateway/src/balsamspoke_gateway/startup.py
+++ b/libs/gateway/src/balsamspoke_gateway/startup.py
@@ -16,9 +16,9 @@
     """Hold requests until a process that has just started can handle them.
 
     This handles restarts of many processes at once: callers whose connections broke
-    return within a second, mostly for the last time, and find a process that will know
-    its configuration, replicas and peers a few milliseconds later. Without its peers it
-    would admit the whole limit of each team.
+    retry at once, and find a process that will know its configuration, replicas and
+    peers a few milliseconds later. A refusal could use up their last retry. Without its
+    peers the process would admit the whole limit of each team.
 
     Parameters
     ----------
--- a/libs/gateway/tests/test_admission.py
+++ b/libs/gateway/tests/test_admission.py
@@ -7,6 +7,7 @@
 
 from balsamspoke_fakes import VirtualClock, VirtualTime
 from balsamspoke_fakes.properties import examples
+from balsamspoke_gateway.admission_client import AdmissionClient
 from balsamspoke_gateway.admission_controller import AdmissionController
 from balsamspoke_gateway.admission_messages import (
     AdmissionCancellation,
@@ -330,6 +331,14 @@
         sent = [message for _, message in self.world.peers.sent]
         return [each for each in sent if isinstance(each, AdmissionCancellation)]
 
+    def test_a_restarted_process_numbers_its_requests_anew(self):
+        numbers = []
+        for drawn in (0.25, 0.75):
+            peers = RecordedPeers()
+            client = AdmissionClient(self.world.clock, peers, lambda: drawn)
+            numbers.append(client.make_number())
+        self.assertNotEqual(*numbers)
+
     def test_sends_a_prompt_once_it_may_start(self):
         self.world.send("stream", "a1", tokens=700)
         self.assertEqual([each.tokens for each in self.list_requests()], [700])
