--- a/libs/gateway/tests/test_admission.py
+++ b/libs/gateway/tests/test_admission.py
@@ -335,7 +335,7 @@
         numbers = []
         for drawn in (0.25, 0.75):
             peers = RecordedPeers()
-            client = AdmissionClient(self.world.clock, peers, lambda: drawn)
+            client = AdmissionClient(self.world.clock, peers, iter([drawn]).__next__)
             numbers.append(client.make_number())
         self.assertNotEqual(*numbers)
 
--- a/libs/gateway/tests/test_entry.py
+++ b/libs/gateway/tests/test_entry.py
@@ -38,6 +38,10 @@
         Revision, kind and RecordChange of each change since the history was dropped.
     pollers : list of callable
         Called without arguments to check a pending poll again.
+    silent_kinds : set of str
+        Kinds whose lists are not answered yet.
+    pending_lists : list of callable
+        Called without arguments to answer such a list.
     """
 
     def __init__(self):
@@ -47,6 +51,15 @@
         self.revision = 0
         self.history = []
         self.pollers = []
+        self.silent_kinds = set()
+        self.pending_lists = []
+
+    def answer_lists(self):
+        """Answer the pending lists, and all later ones at once."""
+        self.silent_kinds.clear()
+        pending, self.pending_lists = self.pending_lists, []
+        for answer in pending:
+            answer()
 
     def write(self, kind, name, record):
         """Write a record, or remove it (None)."""
@@ -89,9 +102,16 @@
     def list_all(self):
         if self.store.is_unavailable:
             return fail(StoreUnavailable("the store is unavailable"))
+        if self.kind in self.store.silent_kinds:
+            waiter = Deferred()
+            self.store.pending_lists.append(lambda: waiter.callback(self._make_list()))
+            return waiter
+        return succeed(self._make_list())
+
+    def _make_list(self):
         found = self.store.records[self.kind].items()
         changes = tuple(RecordChange(name, record) for name, record in found)
-        return succeed(RecordPage(changes, self.store.revision))
+        return RecordPage(changes, self.store.revision)
 
     def poll(self, revision):
         waiter = Deferred()
@@ -210,6 +230,21 @@
         self.world.pass_time(0.1)
         self.assertEqual(sink.status, 200)
 
+    def test_admits_nothing_before_it_knows_its_peers(self):
+        # Load pattern: all processes start at once while one team floods them. Each of
+        # them admitted the team's whole limit until it knew of the others.
+        self.world.configure(1)
+        self.add("a")
+        self.store.write("entries", "10.0.1.2", "10.0.1.2")
+        self.store.silent_kinds.add("entries")
+        self.core.start()
+        sink, _ = self.world.send("keyed", key="key-1", token_cost=30)
+        self.world.pass_time(0.1)
+        self.assertEqual(sink.status, 0)
+        self.store.answer_lists()
+        self.assertEqual(sink.status, 200)
+        self.assertEqual(self.world.context.processes, 2)
+
     def test_forgets_a_caller_that_leaves_before_the_first_configuration(self):
         self.core.start()
         _, running = self.world.send("safe")
