--- a/libs/membership/src/balsamspoke_membership/known.py
+++ b/libs/membership/src/balsamspoke_membership/known.py
@@ -41,6 +41,30 @@
     is_leaving: bool = False
     catalogue_revision: int = 0
 
+    def is_unresponsive(self, now, settings):
+        """Return whether the process has been silent for so long that it is suspect.
+
+        The timeout counts from ``unanswered_since``. If that is None, a connected
+        process isn't unresponsive; for any other process, the timeout counts from the
+        later of ``last_seen_at`` and ``last_relayed_at`` and is longer by
+        ``relay_max_age``. A process with neither time is unresponsive.
+
+        Parameters
+        ----------
+        now : timedelta
+            Monotonic time.
+        settings : MembershipSettings
+            Timeouts.
+        """
+        if self.unanswered_since is not None:
+            return now - self.unanswered_since >= settings.suspect_after
+        if self.is_connected:
+            return False
+        times = (self.last_seen_at, self.last_relayed_at)
+        last = max((at for at in times if at is not None), default=None)
+        timeout = settings.suspect_after + settings.relay_max_age
+        return last is None or now - last >= timeout
+
 
 class ProcessTable:
     """The current process of each VM; a replaced boot never becomes current again."""
--- a/libs/membership/src/balsamspoke_membership/membership.py
+++ b/libs/membership/src/balsamspoke_membership/membership.py
@@ -353,29 +353,7 @@
         return is_new_leaver
 
     def _is_unresponsive(self, known):
-        """Return whether a process has been silent for so long that it is suspect.
-
-        The timeout counts from ``unanswered_since``. If that is None, a connected
-        process isn't unresponsive; for any other process, the timeout counts from the
-        later of ``last_seen_at`` and ``last_relayed_at`` and is longer by
-        ``relay_max_age``. A process with neither time is unresponsive.
-        """
-        now = self._clock.monotonic()
-        after = self._settings.suspect_after
-        if known.is_connected or known.unanswered_since is not None:
-            return (
-                known.unanswered_since is not None
-                and now - known.unanswered_since >= after
-            )
-        last = max(
-            (
-                at
-                for at in (known.last_seen_at, known.last_relayed_at)
-                if at is not None
-            ),
-            default=None,
-        )
-        return last is None or now - last >= after + self._settings.relay_max_age
+        return known.is_unresponsive(self._clock.monotonic(), self._settings)
 
     def _update_members(self):
         self._reset_timeouts_after_pause()
