Log the shared prompt parts of each attempt

The lines on attempts said which replica broke off which request, but not what the requests had in common, so a request that crashes each engine could not be told from load that moves on. Each line now lists the ids of the prompt parts that other requests may share. The test failed before: the field did not exist.

--- a/libs/gateway/src/balsamspoke_gateway/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -210,9 +210,14 @@
                 attempt.backlog,
                 attempt.state_age,
                 attempt.version,
+                self._list_shared_parts(),
             )
             self.context.observer.observe(ended)
 
+    def _list_shared_parts(self):
+        prompt = self.request.prompt
+        return () if prompt is None else prompt.shared_part_ids
+
     def find_held_version(self, record):
         """Return the adapter version that a replica holds for this request, or None."""
         target = self.request.prompt.target
--- a/libs/gateway/src/balsamspoke_gateway/observing.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing.py
@@ -41,6 +41,8 @@
         None if there was no recent report.
     version : int or None
         Adapter version that the replica was asked to use; None if none was required.
+    prompt_parts : tuple of str
+        Ids of the parts of the prompt that other requests may share.
     """
 
     request: str
@@ -54,6 +56,7 @@
     backlog: int
     state_age: timedelta | None
     version: int | None
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/balsamspoke_gateway/requests.py
+++ b/libs/gateway/src/balsamspoke_gateway/requests.py
@@ -57,6 +57,11 @@
     output_tokens: int
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def shared_part_ids(self):
+        """Ids (tuple of str) of the parts that other requests may share."""
+        return tuple(part.id for part in self.parts[:-1])
+
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
--- a/libs/gateway/tests/test_forwarding.py
+++ b/libs/gateway/tests/test_forwarding.py
@@ -17,6 +17,7 @@
     UnknownRoute,
 )
 from balsamspoke_gateway.messages import ReplicaState
+from balsamspoke_gateway.observing import AttemptEnded
 from balsamspoke_gateway.replicas import HeldModel
 from balsamspoke_gateway.startup import MAX_STARTUP_WAIT, StartupGate
 from hypothesis import given
@@ -190,6 +191,11 @@
         self.assertNotEqual(first, second)
         self.assertEqual(request.last_event_id, 2)
 
+    def test_tells_the_shared_prompt_parts_of_each_attempt(self):
+        self.world.send("stream", parts=["system", "examples", "own"])
+        ended = [e for e in self.world.observer.events if isinstance(e, AttemptEnded)]
+        self.assertEqual(ended[0].prompt_parts, ("system", "examples"))
+
     def test_truncates_a_broken_stream_that_may_not_be_resumed(self):
         self.script_both(Answer(pieces=[EVENTS[0]], breaks=True))
         sink, _ = self.world.send("stream")
--- a/libs/gateway/tests/world.py
+++ b/libs/gateway/tests/world.py
@@ -25,6 +25,7 @@
     AdapterName,
     CallerRequest,
     Prompt,
+    PromptPart,
     ReplicaAnswer,
 )
 from balsamspoke_gateway.settings import GatewaySettings
@@ -335,6 +336,7 @@
         caller_timeout=5,
         tokens=100,
         body=b"",
+        parts=(),
         **others,
     ):
         """Start a request on a route; return its RecordedSink and its Deferred.
@@ -353,12 +355,15 @@
             Length of the prompt in tokens.
         body : bytes
             Body of the request.
+        parts : sequence of str
+            Ids of the parts of the prompt, in order.
         **others
             Further fields of the CallerRequest.
         """
         prompt = None
         if route == "resumable" or route.endswith("stream"):
-            prompt = Prompt(AdapterName(MODEL, adapter), tokens, 50)
+            prompt_parts = tuple(PromptPart(part, 10) for part in parts)
+            prompt = Prompt(AdapterName(MODEL, adapter), tokens, 50, prompt_parts)
         request = CallerRequest(
             "id-1",
             b"POST",
