--- a/libs/gateway/tests/test_entry.py
+++ b/libs/gateway/tests/test_entry.py
@@ -1,189 +1,24 @@
-import dataclasses
 import unittest
 from datetime import timedelta
 
 from balsamspoke_fakes.properties import examples
-from balsamspoke_gateway.entry import EntryCore
 from balsamspoke_gateway.exceptions import NotReady
 from balsamspoke_gateway.following import RecordChange, RecordPage
 from balsamspoke_gateway.messages import EntryUsage
 from balsamspoke_gateway.peers import PeerDirectory
-from balsamspoke_gateway.ports import EntryRegistry, RecordSource
-from balsamspoke_gateway.records import AnnouncedVersion, EntrySources
+from balsamspoke_gateway.records import AnnouncedVersion
 from balsamspoke_gateway.replicas import RECOVERY_GRACE
 from balsamspoke_gateway.requests import AdapterName
-from balsamspoke_gateway.startup import MAX_STARTUP_WAIT, StartupGate
-from balsamspoke_types.exceptions import StoreUnavailable, WatchExpired
+from balsamspoke_gateway.startup import MAX_STARTUP_WAIT
 from hypothesis import given
 from hypothesis import strategies as st
-from twisted.internet.defer import Deferred, fail, succeed
 
-from .world import CONFIGURATION, World, make_record
+from .entry_world import EntryWorld
+from .world import make_record
 
 TICK = timedelta(seconds=0.2)
 
 
-class FakeStore:
-    """Records by kind and name, with a history of changes that can be dropped.
-
-    Attributes
-    ----------
-    records : dict
-        Records by kind and name.
-    is_unavailable : bool
-        Whether all calls of clients fail.
-    revision : int
-        Number of changes so far.
-    history : list of tuple
-        Revision, kind and RecordChange of each change since the history was dropped.
-    pollers : list of callable
-        Called without arguments to check a pending poll again.
-    silent_kinds : set of str
-        Kinds whose lists are not answered yet.
-    pending_lists : list of callable
-        Called without arguments to answer such a list.
-    """
-
-    def __init__(self):
-        self.records = {"configurations": {}, "replicas": {}, "versions": {}}
-        self.records["entries"] = {}
-        self.is_unavailable = False
-        self.revision = 0
-        self.history = []
-        self.pollers = []
-        self.silent_kinds = set()
-        self.pending_lists = []
-
-    def answer_lists(self):
-        """Answer the pending lists, and all later ones at once."""
-        self.silent_kinds.clear()
-        pending, self.pending_lists = self.pending_lists, []
-        for answer in pending:
-            answer()
-
-    def write(self, kind, name, record):
-        """Write a record, or remove it (None)."""
-        self.revision += 1
-        if record is None:
-            self.records[kind].pop(name, None)
-        else:
-            self.records[kind][name] = record
-        self.history.append((self.revision, kind, RecordChange(name, record)))
-        self.resume_polls()
-
-    def resume_polls(self):
-        """Check the pending polls again, for changes, an outage or a lost history."""
-        pollers, self.pollers = self.pollers, []
-        for poller in pollers:
-            poller()
-
-    def go_away(self):
-        """Become unavailable, and fail the pending polls."""
-        self.is_unavailable = True
-        self.resume_polls()
-
-    def return_(self):
-        """Become available again."""
-        self.is_unavailable = False
-
-    def forget_history(self):
-        """Drop the history, so that polls from an older revision fail."""
-        self.history.clear()
-        self.resume_polls()
-
-
-class FakeSource(RecordSource):
-    """Source of the records of one kind in a FakeStore."""
-
-    def __init__(self, store, kind):
-        self.store = store
-        self.kind = kind
-
-    def list_all(self):
-        if self.store.is_unavailable:
-            return fail(StoreUnavailable("the store is unavailable"))
-        if self.kind in self.store.silent_kinds:
-            waiter = Deferred()
-            self.store.pending_lists.append(lambda: waiter.callback(self._make_list()))
-            return waiter
-        return succeed(self._make_list())
-
-    def _make_list(self):
-        found = self.store.records[self.kind].items()
-        changes = tuple(RecordChange(name, record) for name, record in found)
-        return RecordPage(changes, self.store.revision)
-
-    def poll(self, revision):
-        waiter = Deferred()
-        self._check_for_changes(revision, waiter)
-        return waiter
-
-    def _check_for_changes(self, revision, waiter):
-        store = self.store
-        if store.is_unavailable:
-            waiter.errback(StoreUnavailable("the store is unavailable"))
-        elif not store.history and store.revision > revision:
-            waiter.errback(WatchExpired("the history was dropped"))
-        elif changes := self._find_changes(revision):
-            waiter.callback(RecordPage(tuple(changes), store.revision))
-        else:
-            store.pollers.append(lambda: self._check_for_changes(revision, waiter))
-
-    def _find_changes(self, revision):
-        return [
-            change
-            for number, kind, change in self.store.history
-            if number > revision and kind == self.kind
-        ]
-
-
-class FakeRegistry(EntryRegistry):
-    """List of entry processes in a FakeStore, for the process at an IP address."""
-
-    def __init__(self, store, ip):
-        self.store = store
-        self.ip = ip
-
-    def register(self):
-        if self.store.is_unavailable:
-            return fail(StoreUnavailable("the store is unavailable"))
-        self.store.write("entries", self.ip, self.ip)
-        return succeed(None)
-
-    def remove(self, name):
-        if self.store.is_unavailable:
-            return fail(StoreUnavailable("the store is unavailable"))
-        self.store.write("entries", name, None)
-        return succeed(None)
-
-
-class EntryWorld(World):
-    """An entry process that follows a fake store."""
-
-    def __init__(self):
-        super().__init__()
-        self.context.configuration = None
-        self.context.startup = StartupGate(self.clock)
-        self.store = FakeStore()
-        sources = EntrySources(
-            *(
-                FakeSource(self.store, kind)
-                for kind in ("configurations", "replicas", "versions", "entries")
-            )
-        )
-        registry = FakeRegistry(self.store, self.context.settings.ip)
-        self.core = EntryCore(self.context, sources, registry, 1)
-
-    def configure(self, version):
-        """Write a version of the configuration to the store."""
-        configuration = dataclasses.replace(CONFIGURATION, version=version)
-        self.store.write("configurations", "main", configuration)
-
-    def list_replica_ids(self):
-        """Return the sorted ids of the replicas in the process's directory."""
-        return sorted(each.id for each in self.context.fleet.directory.list_all())
-
-
 class EntryTests(unittest.TestCase):
     def setUp(self):
         self.world = EntryWorld()
