Known red: requests with a prompt part that crashes engines go to one after the other

Four entry processes and six engines in virtual time; one prompt part crashes each engine that begins to answer it, at four such requests a second beside forty sound ones.

--- /dev/null
+++ b/libs/gateway/tests/crashing_fleet.py
@@ -0,0 +1,277 @@
+"""Entry processes whose engines crash when they answer a certain prompt part."""
+
+import itertools
+from dataclasses import dataclass
+
+from balsamspoke_fakes import VirtualTime
+from balsamspoke_gateway.exceptions import AnswerLost, NotSent
+from balsamspoke_gateway.messages import ReplicaState
+from balsamspoke_gateway.ports import Exchange, PeerSender, ReplicaClient
+from balsamspoke_gateway.requests import ReplicaAnswer
+from twisted.internet.defer import Deferred, fail, succeed
+
+from .entry_world import EntryWorld, FakeStore
+from .world import MODEL, SIGNATURE_HEADERS, make_record, seconds
+
+CRASHING_PART = "bad"
+EVENT_COUNT = 5
+# Seconds from the arrival of a request to the head of its answer, from there to its
+# first event or to the crash, and between events.
+START_DELAY = 0.1
+CRASH_DELAY = 0.05
+EVENT_INTERVAL = 0.1
+# Seconds until a crashed engine is registered anew, under another id.
+RESTART_DELAY = 3.0
+NETWORK_DELAY = 0.001
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A request that reached an engine, at a time in seconds."""
+
+    time: float
+    entry: int
+    replica: str
+    parts: tuple[str, ...]
+
+
+class EngineExchange(Exchange):
+    """An exchange whose pieces an engine supplies as time passes."""
+
+    def __init__(self, engine, request):
+        self.engine = engine
+        self.request = request
+        self.is_ended = False
+        self._head = Deferred(lambda _: self.abort())
+        self._pieces = []
+        self._reader = None
+        self._error = None
+
+    def read_answer(self):
+        return self._head
+
+    def read_piece(self):
+        if self._pieces:
+            return succeed(self._pieces.pop(0))
+        if self._error is not None:
+            return fail(self._error)
+        self._reader = Deferred(lambda _: self.abort())
+        return self._reader
+
+    def abort(self):
+        self.is_ended = True
+        self.engine.running.discard(self)
+
+    def start(self):
+        """Supply the head of the answer."""
+        self._head.callback(ReplicaAnswer(200, SIGNATURE_HEADERS, True, False, True))
+
+    def supply(self, piece):
+        """Supply a piece of the body; empty at its end."""
+        reader, self._reader = self._reader, None
+        if reader is not None:
+            reader.callback(piece)
+        else:
+            self._pieces.append(piece)
+
+    def break_off(self, error):
+        """Fail the exchange."""
+        self.is_ended = True
+        self._error = error
+        reader, self._reader = self._reader, None
+        if not self._head.called:
+            self._head.errback(error)
+        elif reader is not None:
+            reader.errback(error)
+
+
+class Engine:
+    """An engine at one address, which starts again under a new id after a crash.
+
+    Attributes
+    ----------
+    record : ReplicaRecord
+        Its entry in the store.
+    is_up : bool
+        Whether it accepts connections.
+    running : set of EngineExchange
+        Requests without a complete answer.
+    """
+
+    def __init__(self, fleet, record):
+        self._fleet = fleet
+        self.record = record
+        self.is_up = True
+        self.running = set()
+
+    def run(self, exchange):
+        self.running.add(exchange)
+        self._fleet.call_later(START_DELAY, self._begin, exchange)
+
+    def _begin(self, exchange):
+        if exchange.is_ended:
+            return
+        exchange.start()
+        if CRASHING_PART in exchange.request.caller.prompt.shared_part_ids:
+            self._fleet.call_later(CRASH_DELAY, self._crash_by, exchange)
+        else:
+            self._fleet.call_later(CRASH_DELAY, self._write_event, exchange, 1)
+
+    def _write_event(self, exchange, number):
+        if exchange.is_ended:
+            return
+        if number > EVENT_COUNT:
+            self.running.discard(exchange)
+            exchange.is_ended = True
+            exchange.supply(b"")
+            return
+        exchange.supply(b"id: %d\ndata: x\n\n" % number)
+        self._fleet.call_later(EVENT_INTERVAL, self._write_event, exchange, number + 1)
+
+    def _crash_by(self, exchange):
+        if not exchange.is_ended:
+            self.crash()
+
+    def crash(self):
+        """End, with all running requests, and start again after some time."""
+        self._fleet.crashes.append(self._fleet.seconds)
+        self.is_up = False
+        running, self.running = list(self.running), set()
+        for exchange in running:
+            exchange.break_off(self._fleet.make_loss_error())
+        self._fleet.call_later(RESTART_DELAY, self._start_again)
+
+    def _start_again(self):
+        old = self.record
+        self.record = self._fleet.make_engine_record(old.ip)
+        self.is_up = True
+        self._fleet.store.write("replicas", old.id, None)
+        self._fleet.store.write("replicas", self.record.id, self.record)
+
+
+class EngineClient(ReplicaClient):
+    """Client of one entry process for the engines of a CrashingFleet."""
+
+    def __init__(self, fleet, entry):
+        self._fleet = fleet
+        self._entry = entry
+
+    def send(self, record, request):
+        engine = self._fleet.engines[record.ip]
+        exchange = EngineExchange(engine, request)
+        if not engine.is_up or engine.record.id != record.id:
+            exchange.break_off(NotSent("connection refused"))
+            return exchange
+        parts = request.caller.prompt.shared_part_ids
+        self._fleet.arrivals.append(
+            Arrival(self._fleet.seconds, self._entry, record.id, parts)
+        )
+        engine.run(exchange)
+        return exchange
+
+    def is_refusing(self, record):
+        return succeed(not self._fleet.engines[record.ip].is_up)
+
+
+class FleetPeers(PeerSender):
+    """Sender that delivers messages to the entry processes of a CrashingFleet."""
+
+    def __init__(self, fleet, ip):
+        self._fleet = fleet
+        self._ip = ip
+
+    def send(self, ip, message):
+        if ip in self._fleet.entries and not self._fleet.loses_messages:
+            self._fleet.call_later(NETWORK_DELAY, self._deliver, ip, message)
+
+    def _deliver(self, ip, message):
+        self._fleet.entries[ip].core.receive_message(self._ip, message)
+
+
+class CrashingFleet:
+    """Entry processes and engines that share a store and virtual time.
+
+    Parameters
+    ----------
+    entries, engines : int
+        Numbers of entry processes and of engines.
+
+    Attributes
+    ----------
+    arrivals : list of Arrival
+        Requests that reached an engine.
+    crashes : list of float
+        Times of the engines' crashes, in seconds.
+    engines : dict
+        Engines by IP address.
+    entries : dict
+        EntryWorlds by IP address.
+    loses_messages : bool
+        Whether messages between entry processes are lost.
+    """
+
+    def __init__(self, entries=4, engines=6):
+        self.time = VirtualTime()
+        self.store = FakeStore()
+        self.arrivals = []
+        self.crashes = []
+        self.engines = {}
+        self.entries = {}
+        self.loses_messages = False
+        self._numbers = itertools.count(1)
+        for number in range(1, engines + 1):
+            record = self.make_engine_record(f"10.0.0.{number}")
+            self.engines[record.ip] = Engine(self, record)
+            self.store.write("replicas", record.id, record)
+        for number in range(1, entries + 1):
+            self.start_entry(f"10.0.1.{number}")
+
+    @property
+    def seconds(self):
+        """Seconds since the start of the test."""
+        return self.time.elapsed.total_seconds()
+
+    def call_later(self, delay, function, *arguments):
+        """Schedule a call after a number of seconds."""
+        self.time.schedule(self.time.elapsed + seconds(delay), function, *arguments)
+
+    def make_engine_record(self, ip):
+        """Return the entry of an engine that has just started."""
+        number = next(self._numbers)
+        return make_record(
+            f"engine-{number}", "engines", int(ip.rpartition(".")[2]), born=number
+        )
+
+    def make_loss_error(self):
+        """Return the error of an exchange whose engine has crashed."""
+        return AnswerLost("connection lost")
+
+    def start_entry(self, ip):
+        """Start an entry process, in place of an earlier one at its address."""
+        if ip in self.entries:
+            self.entries[ip].clock.kill()
+        world = EntryWorld(self.store, next(self._numbers), time=self.time, ip=ip)
+        world.configure(1)
+        world.context.client = EngineClient(self, ip)
+        world.context.peers = FleetPeers(self, ip)
+        self.entries[ip] = world
+        world.core.start()
+        self._tell_states(world)
+
+    def _tell_states(self, world):
+        """Report the engines' state to an entry process, as their side processes do."""
+        for engine in self.engines.values():
+            if engine.is_up:
+                state = ReplicaState(engine.record.born, {MODEL: {}})
+                world.core.receive_message(engine.record.ip, state)
+        world.clock.call_later(seconds(0.2), self._tell_states, world)
+
+    def pass_time(self, duration):
+        """Advance the virtual time by a number of seconds."""
+        self.time.advance(seconds(duration))
+
+    def find_arrivals(self, part, since=0.0):
+        """Return the Arrivals with a prompt part after a time in seconds."""
+        return [
+            each for each in self.arrivals if part in each.parts and each.time > since
+        ]
--- a/libs/gateway/tests/entry_world.py
+++ b/libs/gateway/tests/entry_world.py
@@ -148,13 +148,23 @@
 
 
 class EntryWorld(World):
-    """An entry process that follows a fake store."""
+    """An entry process that follows a fake store.
 
-    def __init__(self):
-        super().__init__()
+    Parameters
+    ----------
+    store : FakeStore or None
+        Store to share with other processes; None for one of its own.
+    started : int
+        Identifies this start of the process.
+    **others
+        Parameters of World.
+    """
+
+    def __init__(self, store=None, started=1, **others):
+        super().__init__(**others)
         self.context.configuration = None
         self.context.startup = StartupGate(self.clock)
-        self.store = FakeStore()
+        self.store = store or FakeStore()
         sources = EntrySources(
             *(
                 FakeSource(self.store, kind)
@@ -162,7 +172,7 @@
             )
         )
         registry = FakeRegistry(self.store, self.context.settings.ip)
-        self.core = EntryCore(self.context, sources, registry, 1)
+        self.core = EntryCore(self.context, sources, registry, started)
 
     def configure(self, version):
         """Write a version of the configuration to the store."""
--- a/libs/gateway/tests/world.py
+++ b/libs/gateway/tests/world.py
@@ -286,15 +286,23 @@
 
 
 class World:
-    """Context of an entry process with scripted replicas and recorded messages."""
+    """Context of an entry process with scripted replicas and recorded messages.
 
-    def __init__(self):
-        self.time = VirtualTime()
+    Parameters
+    ----------
+    time : VirtualTime or None
+        Time to share with other processes; None for a time of its own.
+    ip : str
+        IP address of the process.
+    """
+
+    def __init__(self, time=None, ip="10.0.1.1"):
+        self.time = time or VirtualTime()
         self.clock = VirtualClock(self.time)
         self.client = ScriptedClient()
         self.peers = RecordedPeers()
         self.observer = RecordedObserver()
-        settings = GatewaySettings("entry-1", "10.0.1.1", "north", retry_extra=50.0)
+        settings = GatewaySettings(ip, ip, "north", retry_extra=50.0)
         self.context = GatewayContext(
             settings,
             self.clock,
