Quarantine prompt parts that crash replicas

Cause: what a process remembered of a failure was tied to the replica that failed, never to what the request held. A retry, and the next request with the same part, went to the next engine.

Parts that different requests of two crashes have in common are refused with the time that the quarantine lasts; requests with them that run are recalled. An answer to a part ends its quarantine everywhere. The process that completes the case stores it, so that processes that all start anew know it; the others learn it by gossip.

A stream that neither has a length nor chunks, and ends before its first event, counted as a complete empty answer; a crash looks like that. It is broken off now.

--- a/libs/gateway/src/balsamspoke_gateway/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/attempt.py
@@ -1,5 +1,7 @@
 """An attempt to run a request at one replica."""
 
+from datetime import timedelta
+
 from balsamspoke_types.timing import add_timeout
 from twisted.internet.defer import CancelledError
 
@@ -9,6 +11,7 @@
     AnswerLost,
     AnswerOverdue,
     AttemptError,
+    ConnectionLost,
     NotSent,
     OutcomeUnknown,
     TimedOut,
@@ -18,6 +21,9 @@
 from .streams import EventSplitter
 
 _FIRST_SERVER_ERROR = 500
+# A prompt that crashes replicas does so as the answer begins. Once a stream has gone on
+# for this time, its prompt is not the cause of a crash.
+HARMLESS_AFTER = timedelta(milliseconds=300)
 
 
 class NotRun(AttemptError):
@@ -55,7 +61,11 @@
         self._backlog = 0
         self._sent_at = None
         self._last_event_at = None
+        self._first_event_at = None
         self._exchange = None
+        self._reading = None
+        self._is_recalled = False
+        self._is_answer_recorded = False
         self.status = 0
         self.version = None
         self.state_age = None
@@ -68,6 +78,26 @@
         """
         return self._backlog
 
+    @property
+    def shared_parts(self):
+        """Ids (frozenset of str) of the prompt parts that other requests may share."""
+        return frozenset(self._forwarding.list_shared_parts())
+
+    @property
+    def is_harmless(self):
+        """Whether the replica has answered for so long that the prompt is harmless."""
+        first = self._first_event_at
+        if first is None:
+            return False
+        return self._context.clock.monotonic() - first >= HARMLESS_AFTER
+
+    def recall(self):
+        """End the attempt, as its prompt crashes replicas, unless it is harmless."""
+        if self.is_harmless or self._reading is None:
+            return
+        self._is_recalled = True
+        self._reading.cancel()
+
     async def run(self):
         """Forward the answer to the caller.
 
@@ -85,8 +115,14 @@
         except (NotSent, AnswerLost, AnswerOverdue) as error:
             self._exchange.abort()
             self._record_failure(error)
+            await self._investigate(error)
             raise
-        except (CancelledError, TimedOut, OutcomeUnknown):
+        except CancelledError:
+            self._exchange.abort()
+            if self._is_recalled:
+                raise OutcomeUnknown("the prompt has crashed replicas") from None
+            raise
+        except (TimedOut, OutcomeUnknown):
             self._exchange.abort()
             raise
         finally:
@@ -103,6 +139,7 @@
             self._backlog = self._load.unread_tokens + self._load.others_unread_tokens
             self._context.demands.record_start(self._record.id, request.prompt.target)
             self.version = forwarding.find_held_version(self._record)
+            self._context.quarantine.add_attempt(self)
         self._sent_at = self._context.clock.monotonic()
         self._context.fleet.health.record_try(self._record.id, self._sent_at)
         team = forwarding.team
@@ -120,6 +157,7 @@
 
     def _end(self):
         self._load.in_flight -= 1
+        self._context.quarantine.remove_attempt(self)
         self._release_unread_tokens()
         prompt = self._forwarding.request.prompt
         if prompt is not None:
@@ -135,6 +173,16 @@
         is_unreachable = isinstance(error, NotSent)
         self._context.fleet.health.record_failure(self._record.id, now, is_unreachable)
 
+    async def _investigate(self, error):
+        """Find out whether the request has crashed its replica."""
+        request = self._forwarding.request
+        self._context.quarantine.remove_attempt(self)
+        if isinstance(error, ConnectionLost) and request.prompt is not None:
+            if not self.is_harmless:
+                await self._context.quarantine.investigate(
+                    self._record, request, self._forwarding.progress.identity
+                )
+
     async def _exchange_with_replica(self):
         answer = await self._limit_to_attempt(self._exchange.read_answer())
         self.status = answer.status
@@ -162,7 +210,8 @@
         else:
             timeout = forwarding.time_left()
             error = TimedOut("the time for the answer is over")
-        return add_timeout(waiter, self._context.clock, timeout, error)
+        self._reading = add_timeout(waiter, self._context.clock, timeout, error)
+        return self._reading
 
     async def _read_body(self):
         pieces = []
@@ -182,6 +231,7 @@
         sink.start(answer.status, answer.headers, len(body))
         sink.write(body)
         sink.finish()
+        self._record_success(answer)
 
     async def _forward_stream(self, answer):
         splitter = EventSplitter()
@@ -192,10 +242,18 @@
             self._forward_events(answer, splitter.add(piece))
         sink = self._forwarding.sink
         if splitter.has_partial_event:
-            raise AnswerLost("the stream ends in the middle of an event")
+            raise ConnectionLost("the stream ends in the middle of an event")
+        if not answer.is_framed and self._first_event_at is None:
+            raise ConnectionLost("the connection ended before the first event")
         if not sink.is_started:
             sink.start(answer.status, answer.headers)
         sink.finish()
+        self._record_success(answer)
+
+    def _record_success(self, answer):
+        # The end of a connection may be that of the replica.
+        if answer.is_success and answer.is_framed:
+            self._record_answered()
 
     def _read_stream_piece(self):
         reading = self._exchange.read_piece()
@@ -203,7 +261,8 @@
             return self._limit_to_attempt(reading)
         time_left = max(NO_DELAY, self._forwarding.time_left())
         error = TimedOut("the time for the stream is over")
-        return add_timeout(reading, self._context.clock, time_left, error)
+        self._reading = add_timeout(reading, self._context.clock, time_left, error)
+        return self._reading
 
     def _forward_events(self, answer, events):
         progress = self._forwarding.progress
@@ -218,6 +277,8 @@
             self._record_interval()
         self._last_event_at = self._context.clock.monotonic()
         sink = self._forwarding.sink
+        if self.is_harmless:
+            self._record_answered()
         if not sink.is_started:
             progress.first_event_at = self._context.clock.monotonic()
             sink.start(answer.status, answer.headers)
@@ -238,8 +299,16 @@
         if is_late_event(interval, limit):
             self._context.demands.record_late_event(self._record.id, limit)
 
+    def _record_answered(self):
+        """Record once that the replica has answered the prompt without a crash."""
+        prompt = self._forwarding.request.prompt
+        if prompt is not None and not self._is_answer_recorded:
+            self._is_answer_recorded = True
+            self._context.quarantine.record_answered(prompt)
+
     def _record_first_event(self):
-        waited = self._context.clock.monotonic() - self._sent_at
+        self._first_event_at = self._context.clock.monotonic()
+        waited = self._first_event_at - self._sent_at
         self._load.record_first_event(self._backlog, waited)
         prompt = self._forwarding.request.prompt
         if self._choice.admission_number is not None:
--- a/libs/gateway/src/balsamspoke_gateway/context.py
+++ b/libs/gateway/src/balsamspoke_gateway/context.py
@@ -16,6 +16,7 @@
 from .popularity import AdapterPopularity
 from .ports import PeerSender, ReplicaClient
 from .prompt_prefixes import PrefixTracker
+from .quarantine import QuarantineCoordinator
 from .quotas import TeamQuotas
 from .retries import RetryBudget
 from .settings import GatewaySettings
@@ -55,6 +56,8 @@
         Request rates of adapters.
     admission_client : AdmissionClient
         Requests the admission of prompts at side processes.
+    quarantine : QuarantineCoordinator
+        Refuses prompts that crash replicas.
     startup : StartupGate
         Holds requests until the process knows its configuration, replicas and peers.
     configuration : Configuration or None
@@ -84,6 +87,7 @@
     prefix_tracker: PrefixTracker = field(default_factory=PrefixTracker)
     popularity: AdapterPopularity = field(default_factory=AdapterPopularity)
     admission_client: AdmissionClient = field(init=False)
+    quarantine: QuarantineCoordinator = field(init=False)
     startup: StartupGate = field(init=False)
     configuration: Configuration | None = None
     processes: int = 1
@@ -95,6 +99,7 @@
     def __post_init__(self):
         self.quotas = TeamQuotas(self.settings.quota_tolerance)
         self.admission_client = AdmissionClient(self.clock, self.peers, self.draw)
+        self.quarantine = QuarantineCoordinator(self)
         self.startup = StartupGate(self.clock)
 
     def find_retry_budget(self, service):
--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -51,14 +51,17 @@
         Record kinds to follow.
     registry : EntryRegistry
         List of entry processes, to which this process adds itself.
+    quarantine_store : QuarantineStore
+        Keeps the prompts that crash replicas.
     started : int
         Identifies this start of the process; differs between its starts.
     """
 
-    def __init__(self, context, sources, registry, started):
+    def __init__(self, context, sources, registry, quarantine_store, started):
         self.context = context
         self._sources = sources
         self._registry = registry
+        self._quarantine_store = quarantine_store
         self._started = started
         self._peers = PeerDirectory(context.settings.ip)
         self._running = set()
@@ -108,6 +111,10 @@
         engines = filter(self._has_engine, fleet.directory.list_all())
         return sum(fleet.find_state(each) is None for each in engines)
 
+    def count_quarantined(self):
+        """Return the number of sets of prompt parts that are refused."""
+        return self.context.quarantine.count_entries()
+
     def count_silent_peers(self):
         """Return the number of peers that are silent but may still serve requests."""
         return self.context.quotas.count_silent(self.context.clock.monotonic())
@@ -132,6 +139,9 @@
         self._maintain_replicas()
         self._send_usage()
         self._run(self._maintain_registry())
+        self.context.quarantine.start(
+            self._quarantine_store, self._reachability.record_failure
+        )
 
     def handle(self, request, sink):
         """Start to process a CallerRequest; return a Deferred that cancels it."""
@@ -151,6 +161,8 @@
             context.admission_client.record_reply(message)
         elif isinstance(message, EntryUsage):
             self._receive_usage(ip, message)
+        else:
+            context.quarantine.receive(ip, message)
 
     def _receive_usage(self, ip, message):
         now = self.context.clock.monotonic()
@@ -288,6 +300,7 @@
         context.processes = len(peers) + 1
         lifetime = choose_lifetime(choose_interval(len(peers)))
         context.quotas.set_peers(peers, lifetime, context.clock.monotonic())
+        context.quarantine.set_peers(peers)
         context.observer.observe(EntriesListed(context.processes))
         self._open_if_ready()
 
--- a/libs/gateway/src/balsamspoke_gateway/exceptions.py
+++ b/libs/gateway/src/balsamspoke_gateway/exceptions.py
@@ -58,6 +58,13 @@
     """No replica could start the request in time."""
 
 
+class PromptQuarantined(RequestRefused):
+    """The prompt has parts that crash the replicas which answer them."""
+
+    def __init__(self, time_left):
+        super().__init__("the prompt is in quarantine: it crashed replicas", time_left)
+
+
 class TimedOut(GatewayError):
     """The request's deadline has passed; the request may have run."""
 
@@ -78,6 +85,10 @@
     """The request was sent but no usable answer came; it may have run."""
 
 
+class ConnectionLost(AnswerLost):
+    """The replica's connection ended before its answer did; it may have crashed."""
+
+
 class AnswerOverdue(AttemptError):
     """The replica did not answer within the time limit of the attempt."""
 
--- a/libs/gateway/src/balsamspoke_gateway/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -14,6 +14,7 @@
     NotReady,
     NotSent,
     OutcomeUnknown,
+    PromptQuarantined,
     RequestRefused,
     TimedOut,
 )
@@ -141,7 +142,9 @@
         budget = self.context.find_retry_budget(self.service)
         selection = ReplicaSelection(self)
         while True:
+            self._check_quarantine()
             choice = await selection.find()
+            self._check_quarantine()
             if self.progress.failed_attempts and not self._take_retry(budget):
                 raise self._make_final_error(self._last_error)
             if not self.progress.failed_attempts:
@@ -162,6 +165,15 @@
                     raise self._make_final_error(error)
             self.progress.excluded_replicas.add(choice.candidate.record.id)
 
+    def _check_quarantine(self):
+        """Raise PromptQuarantined, or OutcomeUnknown if the request may have run."""
+        try:
+            self.context.quarantine.check(self.request.prompt)
+        except PromptQuarantined as error:
+            if self.progress.possible_runs:
+                raise OutcomeUnknown(str(error)) from error
+            raise
+
     def _can_run_again(self):
         """Return whether the request may run once more."""
         if self.sink.is_started and self.progress.last_event_id is None:
@@ -210,11 +222,12 @@
                 attempt.backlog,
                 attempt.state_age,
                 attempt.version,
-                self._list_shared_parts(),
+                self.list_shared_parts(),
             )
             self.context.observer.observe(ended)
 
-    def _list_shared_parts(self):
+    def list_shared_parts(self):
+        """Return the ids (tuple of str) of the prompt parts that others may share."""
         prompt = self.request.prompt
         return () if prompt is None else prompt.shared_part_ids
 
--- a/libs/gateway/src/balsamspoke_gateway/observing.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing.py
@@ -267,6 +267,57 @@
     late_events: int
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicaCrashed:
+    """A replica ended while it ran a request whose prompt may be the cause.
+
+    Attributes
+    ----------
+    replica : str
+        Id of the replica.
+    request : str
+        Id of the request.
+    suspected_parts : tuple of str
+        Ids of the request's shared prompt parts that were not answered lately.
+    """
+
+    replica: str
+    request: str
+    suspected_parts: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PromptsQuarantined:
+    """Prompts with certain parts are refused from now on.
+
+    Attributes
+    ----------
+    parts : tuple of str
+        Ids of the parts; a prompt that has all of them is refused.
+    reason : str
+        How this process learned it.
+    """
+
+    parts: tuple[str, ...]
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineLifted:
+    """Prompts with certain parts are sent to replicas again.
+
+    Attributes
+    ----------
+    parts : tuple of str
+        Ids of the parts.
+    reason : str
+        Which answer showed that they crash no replica.
+    """
+
+    parts: tuple[str, ...]
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class DependencyLost:
     """A dependency does not answer any more.
--- a/libs/gateway/src/balsamspoke_gateway/ports.py
+++ b/libs/gateway/src/balsamspoke_gateway/ports.py
@@ -32,6 +32,14 @@
     def send(self, replica, request):
         """Send a ReplicaRequest to a ReplicaRecord's address; return an Exchange."""
 
+    @abstractmethod
+    def is_refusing(self, replica):
+        """Return a Deferred of whether a replica's address refuses a connection.
+
+        A refusal shows that no process listens there. Anything else, such as no
+        response at all, counts as no refusal.
+        """
+
 
 class CallerSink(ABC):
     """Writer of the answer to one request of a caller."""
--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/__init__.py
@@ -0,0 +1,32 @@
+"""Quarantine of prompt parts that crash the replicas which answer them."""
+
+from .answered import AnsweredPartsCache
+from .coordinator import QuarantineCoordinator
+from .crash_detection import CrashDetector
+from .evidence import CrashEvidence
+from .messages import (
+    AnsweredParts,
+    CrashReport,
+    CrashSuspect,
+    QuarantineEntry,
+    QuarantineUpdate,
+)
+from .quarantine import QUARANTINE_TIME, PromptQuarantine
+from .storage import QuarantineRecord, QuarantineStorage, QuarantineStore
+
+__all__ = [
+    "QUARANTINE_TIME",
+    "AnsweredParts",
+    "AnsweredPartsCache",
+    "CrashDetector",
+    "CrashEvidence",
+    "CrashReport",
+    "CrashSuspect",
+    "PromptQuarantine",
+    "QuarantineCoordinator",
+    "QuarantineEntry",
+    "QuarantineRecord",
+    "QuarantineStorage",
+    "QuarantineStore",
+    "QuarantineUpdate",
+]
--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
@@ -0,0 +1,226 @@
+"""Quarantine of prompts in one entry process, shared with its peers."""
+
+from datetime import timedelta
+
+from balsamspoke_types.timing import sleep
+from twisted.internet.defer import Deferred
+
+from ..exceptions import PromptQuarantined
+from ..observing import PromptsQuarantined, QuarantineLifted, ReplicaCrashed
+from .crash_detection import CrashDetector
+from .messages import AnsweredParts, CrashReport, CrashSuspect, QuarantineUpdate
+from .quarantine import QUARANTINE_TIME, PromptQuarantine
+from .storage import QuarantineStorage
+
+# Interval at which the quarantine is sent to a peer chosen at random: to those that
+# have just started, and for messages that were lost.
+GOSSIP_INTERVAL = timedelta(milliseconds=500)
+
+OWN_CRASHES = "crashes of replicas here and at peers"
+FROM_PEER = "a peer has it"
+FROM_STORE = "it is in the store"
+ANSWERED_HERE = "a replica has answered it"
+ANSWERED_AT_PEER = "a peer has an answer to it"
+
+
+class QuarantineCoordinator:
+    """Refuse prompts that crash replicas, and agree with the peers on them.
+
+    Each crash is reported to all peers with the requests that may have caused it. All
+    processes decide by the same rule; the one whose report completes the case also
+    tells the others the result and stores it.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        Ports and state of the process.
+    """
+
+    def __init__(self, context):
+        self._context = context
+        self._clock = context.clock
+        self._observer = context.observer
+        self._quarantine = PromptQuarantine()
+        self._detector = CrashDetector(
+            context.clock, lambda record: context.client.is_refusing(record)
+        )
+        self._storage = None
+        self._attempts = set()
+        self._peer_ips = []
+        self._reported_parts = set()
+
+    def start(self, store, on_store_error):
+        """Start to share the quarantine, and to keep it in the store.
+
+        Parameters
+        ----------
+        store : QuarantineStore
+            Holds the quarantine beyond this process.
+        on_store_error : callable
+            Called with each StoreUnavailable.
+        """
+        self._storage = QuarantineStorage(self._clock, store, on_store_error)
+        self._run(self._load())
+        self._run(self._gossip())
+
+    def set_peers(self, ips):
+        """Set the IP addresses of the other entry processes."""
+        self._peer_ips = list(ips)
+
+    def count_entries(self):
+        """Return the number of sets of prompt parts in quarantine."""
+        return len(self._quarantine.list_sets(self._clock.monotonic()))
+
+    def check(self, prompt):
+        """Raise PromptQuarantined if a Prompt, or None, must not be sent."""
+        if prompt is None:
+            return
+        now = self._clock.monotonic()
+        time_left = self._quarantine.find_time_left(prompt.shared_part_ids, now)
+        if time_left is not None:
+            raise PromptQuarantined(time_left)
+
+    def add_attempt(self, attempt):
+        """Recall an Attempt if its prompt gets into quarantine while it runs."""
+        self._attempts.add(attempt)
+
+    def remove_attempt(self, attempt):
+        """Forget an Attempt that has ended."""
+        self._attempts.discard(attempt)
+
+    def record_answered(self, prompt):
+        """Record that a replica has answered a Prompt without a crash."""
+        parts = prompt.shared_part_ids
+        if self._clear(parts, ANSWERED_HERE):
+            self._send_to_all(AnsweredParts(parts))
+
+    async def investigate(self, record, request, identity):
+        """Find out whether a request crashed the replica that broke off its answer.
+
+        Parameters
+        ----------
+        record : ReplicaRecord
+            The replica.
+        request : CallerRequest
+            The request, which has a prompt.
+        identity : str
+            Identifies the request over all processes.
+        """
+        suspect = CrashSuspect(identity, request.prompt.shared_part_ids)
+        report = CrashReport(record.id, record.born, (suspect,))
+        report = self._quarantine.select_suspects(report, self._clock.monotonic())
+        if not report.suspects:
+            return
+        has_crashed = await self._detector.check(record)
+        # A replica that leaves ends by itself.
+        if has_crashed and self._context.fleet.is_available(record):
+            self._report_crash(report, record, request)
+
+    def receive(self, ip, message):
+        """Process a message of a peer; return whether it concerns the quarantine."""
+        if isinstance(message, CrashReport):
+            self._record_report(message)
+            parts = {part for each in message.suspects for part in each.parts}
+            self._reply_with_answered(ip, parts)
+        elif isinstance(message, QuarantineUpdate):
+            self._adopt(message.entries, FROM_PEER)
+            parts = {part for each in message.entries for part in each.parts}
+            self._reply_with_answered(ip, parts)
+        elif isinstance(message, AnsweredParts):
+            self._receive_answered(message)
+        else:
+            return False
+        return True
+
+    def rewrite_records(self):
+        """Store again what a store restored from an older copy has lost."""
+        if self._storage is not None:
+            self._storage.rewrite()
+
+    def _report_crash(self, report, record, request):
+        now = self._clock.monotonic()
+        self._context.fleet.health.record_failure(record.id, now, True)
+        suspect = report.suspects[0]
+        self._observer.observe(
+            ReplicaCrashed(report.replica, request.id, suspect.parts)
+        )
+        self._reported_parts.update(suspect.parts)
+        self._send_to_all(report)
+        causes = self._record_report(report)
+        if not causes:
+            return
+        self._send_to_all(QuarantineUpdate(self._quarantine.make_entries(now)))
+        if self._storage is not None:
+            for cause in causes:
+                if cause.is_certain:
+                    self._storage.add(cause.parts, QUARANTINE_TIME)
+
+    def _record_report(self, report):
+        now = self._clock.monotonic()
+        causes = self._quarantine.record_crash(report, now)
+        self._announce([cause.parts for cause in causes], OWN_CRASHES)
+        return causes
+
+    def _adopt(self, entries, reason):
+        added = self._quarantine.adopt(entries, self._clock.monotonic())
+        self._announce(added, reason)
+
+    def _announce(self, sets, reason):
+        """Log new sets of parts, and recall the attempts that they concern."""
+        for parts in sets:
+            self._observer.observe(PromptsQuarantined(tuple(sorted(parts)), reason))
+        if not sets:
+            return
+        for attempt in list(self._attempts):
+            if any(each <= attempt.shared_parts for each in sets):
+                attempt.recall()
+
+    def _receive_answered(self, message):
+        if not self._clear(message.parts, ANSWERED_AT_PEER):
+            return
+        reported = tuple(each for each in message.parts if each in self._reported_parts)
+        if reported:
+            # The others have the suspicion from this process.
+            self._send_to_all(AnsweredParts(reported))
+            self._reported_parts.difference_update(reported)
+
+    def _clear(self, parts, reason):
+        """Clear answered parts; return whether one was suspected or in quarantine."""
+        now = self._clock.monotonic()
+        before = self._quarantine.list_sets(now)
+        if not self._quarantine.record_answered(parts, now):
+            return False
+        kept = self._quarantine.list_sets(now)
+        for each in before:
+            if each not in kept:
+                self._observer.observe(QuarantineLifted(tuple(sorted(each)), reason))
+        return True
+
+    def _reply_with_answered(self, ip, parts):
+        now = self._clock.monotonic()
+        answered = self._quarantine.select_answered(sorted(parts), now)
+        if answered:
+            self._context.peers.send(ip, AnsweredParts(answered))
+
+    def _send_to_all(self, message):
+        for ip in self._peer_ips:
+            self._context.peers.send(ip, message)
+
+    async def _load(self):
+        self._adopt(await self._storage.load(), FROM_STORE)
+        await self._storage.run()
+
+    async def _gossip(self):
+        while True:
+            await sleep(self._clock, GOSSIP_INTERVAL)
+            now = self._clock.monotonic()
+            self._storage.retain(self._quarantine.list_sets(now))
+            entries = self._quarantine.make_entries(now)
+            if entries and self._peer_ips:
+                number = int(self._context.draw() * len(self._peer_ips))
+                self._context.peers.send(
+                    self._peer_ips[number], QuarantineUpdate(entries)
+                )
+
+    def _run(self, coroutine):
+        Deferred.fromCoroutine(coroutine).addErrback(self._context.report_bug)
--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/storage.py
@@ -0,0 +1,127 @@
+"""Quarantine that lasts beyond the process, in the platform's store."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+from balsamspoke_types.exceptions import StoreUnavailable
+from balsamspoke_types.timing import sleep
+
+from .messages import QuarantineEntry
+
+# Interval of attempts to write what is not stored yet.
+WRITE_INTERVAL = timedelta(milliseconds=600)
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineRecord:
+    """A set of prompt parts in quarantine, as stored.
+
+    Attributes
+    ----------
+    parts : tuple of str
+        Ids of the parts, sorted.
+    ends_at : datetime
+        Time of day at which the quarantine ends, with its time zone.
+    """
+
+    parts: tuple[str, ...]
+    ends_at: datetime
+
+
+class QuarantineStore(ABC):
+    """The quarantine in the platform's store.
+
+    All calls fail with StoreUnavailable if the store does not answer.
+    """
+
+    @abstractmethod
+    def list_all(self):
+        """Return an awaitable list of QuarantineRecords."""
+
+    @abstractmethod
+    def put(self, record):
+        """Write a QuarantineRecord; return an awaitable."""
+
+    @abstractmethod
+    def remove(self, parts):
+        """Remove the record of parts, a sorted tuple of ids; return an awaitable."""
+
+
+class QuarantineStorage:
+    """Keep the stored records in line with what this process has put in quarantine.
+
+    Processes that all start anew at once learn from the records which prompts not to
+    send. Only the process that found a cause writes its record, and removes it when
+    the quarantine ends; a record whose writer is gone is removed by the next process
+    that starts after its end.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of times.
+    store : QuarantineStore
+        Holds the records.
+    on_error : callable
+        Called with each StoreUnavailable.
+    """
+
+    def __init__(self, clock, store, on_error):
+        self._clock = clock
+        self._store = store
+        self._on_error = on_error
+        self._records = {}
+        self._unwritten = set()
+        self._removed = set()
+
+    async def load(self):
+        """Return a list of QuarantineEntries of the records, once the store answers."""
+        while True:
+            try:
+                records = await self._store.list_all()
+            except StoreUnavailable as error:
+                self._on_error(error)
+                await sleep(self._clock, WRITE_INTERVAL)
+                continue
+            now = self._clock.now()
+            self._removed |= {each.parts for each in records if each.ends_at <= now}
+            return [
+                QuarantineEntry(each.parts, (each.ends_at - now).total_seconds())
+                for each in records
+            ]
+
+    def add(self, parts, time_left):
+        """Store a set of parts for a timedelta; it is written by ``run``."""
+        name = tuple(sorted(parts))
+        self._records[name] = QuarantineRecord(name, self._clock.now() + time_left)
+        self._unwritten.add(name)
+        self._removed.discard(name)
+
+    def retain(self, sets):
+        """Remove the records of all sets that are not among the given ones."""
+        kept = {tuple(sorted(parts)) for parts in sets}
+        for name in set(self._records) - kept:
+            del self._records[name]
+            self._unwritten.discard(name)
+            self._removed.add(name)
+
+    def rewrite(self):
+        """Write all records again, as the store has lost them."""
+        self._unwritten = set(self._records)
+
+    async def run(self):
+        """Write and remove records until cancelled."""
+        while True:
+            try:
+                await self._write_pending()
+            except StoreUnavailable as error:
+                self._on_error(error)
+            await sleep(self._clock, WRITE_INTERVAL)
+
+    async def _write_pending(self):
+        for name in list(self._unwritten):
+            await self._store.put(self._records[name])
+            self._unwritten.discard(name)
+        for name in list(self._removed):
+            await self._store.remove(name)
+            self._removed.discard(name)
--- a/libs/gateway/src/balsamspoke_gateway/requests.py
+++ b/libs/gateway/src/balsamspoke_gateway/requests.py
@@ -180,6 +180,9 @@
         Whether the answer carries a replica's signature.
     length : int or None
         Bytes of the body; None if not stated.
+    is_framed : bool
+        Whether the end of the answer is marked, by its length or the last of its
+        chunks; otherwise it ends with the connection.
     load : ServerLoad or None
         The replica's load; None if not stated.
     """
@@ -191,6 +194,7 @@
     is_signed: bool
     length: int | None = None
     load: ServerLoad | None = None
+    is_framed: bool = True
 
     @property
     def is_success(self):
--- a/libs/gateway/tests/crashing_fleet.py
+++ b/libs/gateway/tests/crashing_fleet.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from balsamspoke_fakes import VirtualTime
-from balsamspoke_gateway.exceptions import AnswerLost, NotSent
+from balsamspoke_gateway.exceptions import ConnectionLost, NotSent
 from balsamspoke_gateway.messages import ReplicaState
 from balsamspoke_gateway.ports import Exchange, PeerSender, ReplicaClient
 from balsamspoke_gateway.requests import ReplicaAnswer
@@ -244,7 +244,7 @@
 
     def make_loss_error(self):
         """Return the error of an exchange whose engine has crashed."""
-        return AnswerLost("connection lost")
+        return ConnectionLost("connection lost")
 
     def start_entry(self, ip):
         """Start an entry process, in place of an earlier one at its address."""
--- a/libs/gateway/tests/entry_world.py
+++ b/libs/gateway/tests/entry_world.py
@@ -5,6 +5,7 @@
 from balsamspoke_gateway.entry import EntryCore
 from balsamspoke_gateway.following import RecordChange, RecordPage
 from balsamspoke_gateway.ports import EntryRegistry, RecordSource
+from balsamspoke_gateway.quarantine import QuarantineStore
 from balsamspoke_gateway.records import EntrySources
 from balsamspoke_gateway.startup import StartupGate
 from balsamspoke_types.exceptions import StoreUnavailable, WatchExpired
@@ -37,6 +38,7 @@
     def __init__(self):
         self.records = {"configurations": {}, "replicas": {}, "versions": {}}
         self.records["entries"] = {}
+        self.records["quarantine"] = {}
         self.is_unavailable = False
         self.revision = 0
         self.history = []
@@ -147,6 +149,30 @@
         return succeed(None)
 
 
+class FakeQuarantineStore(QuarantineStore):
+    """Quarantine in a FakeStore."""
+
+    def __init__(self, store):
+        self.store = store
+
+    def list_all(self):
+        if self.store.is_unavailable:
+            return fail(StoreUnavailable("the store is unavailable"))
+        return succeed(list(self.store.records["quarantine"].values()))
+
+    def put(self, record):
+        if self.store.is_unavailable:
+            return fail(StoreUnavailable("the store is unavailable"))
+        self.store.write("quarantine", record.parts, record)
+        return succeed(None)
+
+    def remove(self, parts):
+        if self.store.is_unavailable:
+            return fail(StoreUnavailable("the store is unavailable"))
+        self.store.write("quarantine", parts, None)
+        return succeed(None)
+
+
 class EntryWorld(World):
     """An entry process that follows a fake store.
 
@@ -172,7 +198,13 @@
             )
         )
         registry = FakeRegistry(self.store, self.context.settings.ip)
-        self.core = EntryCore(self.context, sources, registry, started)
+        self.core = EntryCore(
+            self.context,
+            sources,
+            registry,
+            FakeQuarantineStore(self.store),
+            started,
+        )
 
     def configure(self, version):
         """Write a version of the configuration to the store."""
--- a/libs/gateway/tests/test_forwarding.py
+++ b/libs/gateway/tests/test_forwarding.py
@@ -192,6 +192,7 @@
         self.assertEqual(request.last_event_id, 2)
 
     def test_tells_the_shared_prompt_parts_of_each_attempt(self):
+        self.script_both(Answer(pieces=EVENTS))
         self.world.send("stream", parts=["system", "examples", "own"])
         ended = [e for e in self.world.observer.events if isinstance(e, AttemptEnded)]
         self.assertEqual(ended[0].prompt_parts, ("system", "examples"))
--- /dev/null
+++ b/libs/gateway/tests/test_quarantine.py
@@ -0,0 +1,330 @@
+import math
+import unittest
+from datetime import timedelta
+
+from balsamspoke_fakes.properties import examples
+from balsamspoke_gateway.exceptions import (
+    ConnectionLost,
+    OutcomeUnknown,
+    PromptQuarantined,
+)
+from balsamspoke_gateway.observing import PromptsQuarantined, ReplicaCrashed
+from balsamspoke_gateway.quarantine import (
+    QUARANTINE_TIME,
+    AnsweredParts,
+    CrashReport,
+    CrashSuspect,
+    PromptQuarantine,
+    QuarantineEntry,
+    QuarantineUpdate,
+)
+from balsamspoke_gateway.quarantine.answered import TRUST_TIME
+from balsamspoke_gateway.quarantine.quarantine import UNCERTAIN_TIME
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet.defer import succeed
+
+from .crashing_fleet import CRASHING_PART, CrashingFleet
+from .test_crashing_prompts import Traffic
+from .world import Answer, World, make_record, seconds
+
+EVENTS = [b"id: %d\ndata: x\n\n" % number for number in range(1, 6)]
+NOW = timedelta(seconds=1000)
+
+
+class DecisionTests(unittest.TestCase):
+    def setUp(self):
+        self.quarantine = PromptQuarantine()
+        self.crashes = 0
+
+    def crash(self, *prompts, now=NOW):
+        """Record a crash with the given prompts in flight, each of another request."""
+        self.crashes += 1
+        suspects = tuple(
+            CrashSuspect(f"{self.crashes}-{number}", tuple(parts))
+            for number, parts in enumerate(prompts)
+        )
+        report = CrashReport(f"replica-{self.crashes}", 1, suspects)
+        return self.quarantine.record_crash(report, now)
+
+    def is_refused(self, *parts, now=NOW):
+        return self.quarantine.find_time_left(parts, now) is not None
+
+    def test_two_crashes_with_different_requests_are_needed(self):
+        self.crash(["bad"])
+        self.assertFalse(self.is_refused("bad"))
+        self.crash(["bad"])
+        self.assertTrue(self.is_refused("bad"))
+        self.assertTrue(self.is_refused("other", "bad"))
+        self.assertFalse(self.is_refused("other"))
+
+    def test_one_request_that_crashed_two_replicas_is_not_enough(self):
+        for replica in ("a", "b"):
+            suspect = CrashSuspect("1", ("shared",))
+            self.quarantine.record_crash(CrashReport(replica, 1, (suspect,)), NOW)
+        self.assertFalse(self.is_refused("shared"))
+
+    def test_one_crash_told_by_two_processes_is_one(self):
+        for request in ("1", "2"):
+            suspect = CrashSuspect(request, ("shared",))
+            self.quarantine.record_crash(CrashReport("a", 1, (suspect,)), NOW)
+        self.assertFalse(self.is_refused("shared"))
+
+    def test_parts_answered_lately_are_not_suspected(self):
+        self.quarantine.record_answered(["system"], NOW)
+        for _ in range(5):
+            self.crash(["system", "bad"], ["system", "good"])
+            self.quarantine.record_answered(["good"], NOW)
+        self.assertFalse(self.is_refused("system", "good"))
+        self.assertTrue(self.is_refused("system", "bad"))
+
+    def test_a_part_that_turns_bad_is_found_once_its_last_answer_is_old(self):
+        self.quarantine.record_answered(["part"], NOW)
+        later = NOW + TRUST_TIME + seconds(1)
+        self.crash(["part"], now=later)
+        self.crash(["part"], now=later)
+        self.assertTrue(self.is_refused("part", now=later))
+
+    def test_parts_that_always_come_together_are_refused_only_together(self):
+        self.crash(["rare", "bad"])
+        self.crash(["rare", "bad"])
+        self.assertTrue(self.is_refused("rare", "bad"))
+        self.assertFalse(self.is_refused("rare", "good"))
+        # The part alone explains more.
+        self.crash(["other", "bad"])
+        self.assertTrue(self.is_refused("anything", "bad"))
+        self.assertFalse(self.is_refused("rare"))
+
+    def test_a_bystander_is_not_refused_once_the_cause_is_known(self):
+        self.crash(["bad"])
+        self.crash(["bad"])
+        self.crash(["bad"], ["bystander"])
+        self.crash(["bad"], ["bystander"])
+        self.assertFalse(self.is_refused("bystander"))
+
+    def test_several_explanations_are_tried_again_soon(self):
+        self.crash(["bad"], ["bystander"])
+        self.crash(["bad"], ["bystander"])
+        self.assertTrue(self.is_refused("bystander"))
+        later = NOW + UNCERTAIN_TIME
+        self.assertFalse(self.is_refused("bystander", now=later))
+        self.crash(["bad"], now=later)
+        self.assertFalse(self.is_refused("bystander", now=later))
+        self.assertTrue(self.is_refused("bad", now=later + UNCERTAIN_TIME))
+
+    def test_an_answer_ends_the_quarantine(self):
+        self.crash(["part"])
+        self.crash(["part"])
+        self.assertTrue(self.quarantine.record_answered(["part"], NOW))
+        self.assertFalse(self.is_refused("part"))
+        self.crash(["part"])
+        self.assertFalse(self.is_refused("part"))
+
+    def test_the_quarantine_ends_by_itself(self):
+        self.crash(["bad"])
+        self.crash(["bad"])
+        self.assertFalse(self.is_refused("bad", now=NOW + QUARANTINE_TIME))
+
+    def test_entries_of_peers_are_bounded_and_never_refuse_everything(self):
+        entries = (
+            QuarantineEntry((), 60.0),
+            QuarantineEntry(("nan",), math.nan),
+            QuarantineEntry(("past",), -math.inf),
+            QuarantineEntry(("forever",), math.inf),
+        )
+        self.quarantine.adopt(entries, NOW)
+        self.assertFalse(self.is_refused())
+        self.assertFalse(self.is_refused("nan"))
+        self.assertFalse(self.is_refused("past"))
+        self.assertTrue(self.is_refused("forever"))
+        self.assertFalse(self.is_refused("forever", now=NOW + QUARANTINE_TIME))
+
+    @examples(100)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["s1", "s2", "s3"]),
+                st.lists(
+                    st.tuples(
+                        st.sampled_from(["s1", "s2", "s3"]),
+                        st.sampled_from([f"p{number}" for number in range(8)]),
+                    ),
+                    max_size=4,
+                ),
+            ),
+            min_size=3,
+            max_size=12,
+        )
+    )
+    def test_the_cause_is_found_by_the_third_crash_whatever_runs_beside_it(
+        self, schedule
+    ):
+        quarantine = PromptQuarantine()
+        crashes = 0
+        for number, (system, bystanders) in enumerate(schedule):
+            prompts = [(system, "bad"), *bystanders]
+            if quarantine.find_time_left(prompts[0], NOW) is not None:
+                continue
+            crashes += 1
+            suspects = tuple(
+                CrashSuspect(f"{number}-{index}", parts)
+                for index, parts in enumerate(prompts)
+            )
+            quarantine.record_crash(CrashReport(f"r{number}", 1, suspects), NOW)
+            # Sound requests are answered elsewhere in the meantime.
+            for parts in bystanders:
+                quarantine.record_answered(parts, NOW)
+                self.assertIsNone(quarantine.find_time_left(parts, NOW))
+        self.assertLessEqual(crashes, 3)
+
+
+class AttemptTests(unittest.TestCase):
+    """One entry process, whose replicas lose their connections."""
+
+    def setUp(self):
+        self.world = World()
+        self.records = [
+            make_record(name, "engines", number)
+            for number, name in enumerate("abcd", 1)
+        ]
+        self.world.add(*self.records)
+        for record in self.records:
+            self.world.tell_state(record, {})
+        self.is_refusing = True
+        self.world.client.is_refusing = lambda record: succeed(self.is_refusing)
+        self.script = []
+        self.world.client.answers = dict.fromkeys("abcd", self.script)
+
+    def send(self, *answers, route="stream", parts=("system", "part", "own")):
+        self.script[:] = answers
+        sink, _ = self.world.send(route, parts=parts)
+        self.world.pass_time(0.2)
+        return sink
+
+    def count_events(self, kind):
+        return sum(isinstance(each, kind) for each in self.world.observer.events)
+
+    def test_refuses_a_prompt_that_crashed_two_replicas(self):
+        crash = [Answer(error=ConnectionLost("reset"))]
+        for _ in range(2):
+            self.assertIsInstance(self.send(*crash).failure, OutcomeUnknown)
+        sink = self.send()
+        self.assertIsInstance(sink.refusal, PromptQuarantined)
+        self.assertGreater(sink.refusal.retry_after, seconds(500))
+        self.assertEqual(len(self.world.client.sent), 2)
+        self.assertEqual(self.count_events(ReplicaCrashed), 2)
+        self.assertEqual(self.count_events(PromptsQuarantined), 1)
+
+    def test_a_connection_lost_to_a_replica_that_goes_on_is_no_crash(self):
+        self.is_refusing = False
+        for _ in range(4):
+            self.send(Answer(error=ConnectionLost("reset")))
+        self.assertEqual(self.count_events(ReplicaCrashed), 0)
+        self.assertEqual(self.send(Answer(pieces=EVENTS)).status, 200)
+
+    def test_a_replica_that_leaves_has_not_crashed(self):
+        for record in self.records:
+            leaving = make_record(record.id, "engines", is_leaving=True)
+            self.script[:] = [Answer(is_silent=True)]
+            self.world.send("stream", parts=["part", "own"])
+            self.world.add(leaving)
+            reading = self.world.client.exchanges[-1]
+            reading.abort()
+        self.assertEqual(self.count_events(ReplicaCrashed), 0)
+
+    def test_does_not_retry_a_request_whose_prompt_got_into_quarantine(self):
+        crash = Answer(error=ConnectionLost("reset"))
+        self.send(crash)
+        sink = self.send(crash, Answer(pieces=EVENTS), route="resumable")
+        self.assertIsInstance(sink.failure, OutcomeUnknown)
+        self.assertEqual(len(self.world.client.sent), 2)
+
+    def test_a_stream_that_went_on_for_a_while_did_not_crash_its_replica(self):
+        for _ in range(3):
+            self.script[:] = [Answer(pieces=EVENTS[:1], goes_silent=True)]
+            self.world.send("stream", parts=["part", "own"])
+            self.world.pass_time(1)
+            self.world.client.exchanges[-1].lose(ConnectionLost("reset"))
+            self.world.pass_time(0.1)
+        self.assertEqual(self.count_events(ReplicaCrashed), 0)
+
+    def test_recalls_what_is_running_once_its_prompt_is_in_quarantine(self):
+        self.script[:] = [Answer(is_silent=True)]
+        sink, _ = self.world.send("stream", parts=["bad", "own"])
+        other, _ = self.world.send("stream", parts=["good", "own"])
+        entries = (QuarantineEntry(("bad",), 60.0),)
+        self.world.context.quarantine.receive("10.0.1.2", QuarantineUpdate(entries))
+        self.assertIsInstance(sink.failure, OutcomeUnknown)
+        self.assertTrue(self.world.client.exchanges[0].is_aborted)
+        self.assertFalse(other.failure)
+
+    def test_an_unframed_stream_without_an_event_is_broken_off(self):
+        sink = self.send(Answer(pieces=(), is_framed=False))
+        self.assertIsInstance(sink.failure, OutcomeUnknown)
+        self.assertEqual(self.send(Answer(pieces=())).status, 200)
+
+    def test_tells_a_peer_that_suspects_a_part_which_was_answered(self):
+        self.send(Answer(pieces=EVENTS))
+        suspect = CrashSuspect("1", ("part", "unknown"))
+        report = CrashReport("z", 1, (suspect,))
+        self.world.context.quarantine.receive("10.0.1.2", report)
+        self.assertEqual(
+            self.world.peers.sent[-1], ("10.0.1.2", AnsweredParts(("part",)))
+        )
+
+
+class SharedQuarantineTests(unittest.TestCase):
+    def run_until_refused(self, fleet, seed=1):
+        traffic = Traffic(fleet, seed)
+        traffic.run(3, bad_rate=0)
+        traffic.run(8)
+        self.assertNotEqual(fleet.crashes, [])
+        return traffic
+
+    def test_processes_that_all_start_again_still_refuse_the_prompt(self):
+        fleet = CrashingFleet()
+        traffic = self.run_until_refused(fleet)
+        before = len(fleet.crashes)
+        for ip in list(fleet.entries):
+            fleet.start_entry(ip)
+        fleet.pass_time(1)
+        traffic.run(10)
+        self.assertEqual(len(fleet.crashes), before)
+
+    def test_lost_messages_are_made_up_for(self):
+        fleet = CrashingFleet()
+        traffic = Traffic(fleet, 2)
+        traffic.run(3, bad_rate=0)
+        fleet.loses_messages = True
+        traffic.run(5)
+        fleet.loses_messages = False
+        fleet.pass_time(4)
+        traffic.run(3)
+        before = fleet.seconds
+        traffic.run(10)
+        self.assertLessEqual(len(fleet.find_arrivals(CRASHING_PART, before)), 1)
+
+    def test_a_false_suspicion_ends_at_all_processes_with_one_answer(self):
+        fleet = CrashingFleet()
+        first, second, *_ = fleet.entries.values()
+        entries = (QuarantineEntry(("part",), 600.0),)
+        for entry in fleet.entries.values():
+            entry.context.quarantine.receive("10.0.1.9", QuarantineUpdate(entries))
+        sink, _ = first.send("resumable", parts=["part", "own"])
+        self.assertIsInstance(sink.refusal, PromptQuarantined)
+        second.context.quarantine.receive("10.0.1.9", AnsweredParts(("part",)))
+        fleet.pass_time(20)
+        sink, _ = first.send("resumable", parts=["part", "own"])
+        fleet.pass_time(2)
+        self.assertEqual(sink.status, 200)
+
+    def test_the_store_is_rid_of_what_has_ended(self):
+        fleet = CrashingFleet()
+        self.run_until_refused(fleet)
+        self.assertNotEqual(fleet.store.records["quarantine"], {})
+        fleet.pass_time(QUARANTINE_TIME.total_seconds() + 2)
+        self.assertEqual(fleet.store.records["quarantine"], {})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/gateway/tests/world.py
+++ b/libs/gateway/tests/world.py
@@ -104,6 +104,8 @@
         Whether the replica sends nothing at all.
     goes_silent : bool
         Whether the replica sends nothing more after the last piece, not even the end.
+    is_framed : bool
+        Whether the end of the answer is marked; True by default.
     """
 
     def __init__(self, status=200, pieces=(b"body",), **others):
@@ -115,6 +117,7 @@
         self.error = others.pop("error", None)
         self.is_silent = others.pop("is_silent", False)
         self.goes_silent = others.pop("goes_silent", False)
+        self.is_framed = others.pop("is_framed", True)
 
 
 class ScriptedExchange(Exchange):
@@ -138,6 +141,7 @@
                 answer.has_run,
                 answer.status == 421,
                 answer.is_signed,
+                is_framed=answer.is_framed,
             )
         )
 
@@ -145,7 +149,8 @@
         if self.remaining_pieces:
             return succeed(self.remaining_pieces.pop(0))
         if self.answer.goes_silent:
-            return Deferred(lambda _: self.abort())
+            self._silent_reader = Deferred(lambda _: self.abort())
+            return self._silent_reader
         if self.answer.breaks:
             return fail(AnswerLost("connection lost"))
         return succeed(b"")
@@ -153,6 +158,10 @@
     def abort(self):
         self.is_aborted = True
 
+    def lose(self, error):
+        """Fail the pending read of an exchange that went silent."""
+        self._silent_reader.errback(error)
+
 
 class ScriptedClient(ReplicaClient):
     """Client of replicas that give scripted Answers, and a default one afterwards.
@@ -176,6 +185,9 @@
         """Set the Answers of a replica."""
         self.answers[replica_id] = list(answers)
 
+    def is_refusing(self, record):
+        return succeed(False)
+
     def send(self, record, request):
         self.sent.append((record.id, request))
         script = self.answers.get(record.id)
--- a/libs/transport/src/balsamspoke_transport/datagrams.py
+++ b/libs/transport/src/balsamspoke_transport/datagrams.py
@@ -8,6 +8,7 @@
 )
 from balsamspoke_gateway.messages import EntryDemand, EntryUsage, ReplicaState
 from balsamspoke_gateway.ports import PeerSender
+from balsamspoke_gateway.quarantine import AnsweredParts, CrashReport, QuarantineUpdate
 from loguru import logger
 from msgspec import DecodeError, ValidationError, msgpack
 from twisted.internet.protocol import DatagramProtocol
@@ -22,6 +23,9 @@
     AdmissionCancellation: 5,
     AdmissionReply: 6,
     PrefillEnded: 7,
+    CrashReport: 8,
+    QuarantineUpdate: 9,
+    AnsweredParts: 10,
 }
 _DECODERS = {number: msgpack.Decoder(kind) for kind, number in _TYPE_NUMBERS.items()}
 
--- a/libs/transport/src/balsamspoke_transport/pool.py
+++ b/libs/transport/src/balsamspoke_transport/pool.py
@@ -3,7 +3,8 @@
 from datetime import timedelta
 
 from twisted.internet.defer import Deferred
-from twisted.internet.protocol import ClientFactory
+from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.protocol import ClientFactory, Protocol
 
 from .connections import HttpConnection, HttpExchange
 from .exceptions import ConnectionFailed
@@ -44,6 +45,16 @@
             self._connect(endpoint, exchange)
         return exchange
 
+    def is_refusing(self, endpoint):
+        """Return a Deferred of whether an Endpoint refuses a new connection.
+
+        A connection that is made is closed at once. An endpoint that does not respond
+        counts as not refusing.
+        """
+        factory = _ConnectionFactory(Protocol)
+        self._connect_to(endpoint, factory)
+        return factory.connected.addCallbacks(_close_connection, _is_refusal)
+
     def _take_idle_connection(self, endpoint, request):
         idle = self._idle_connections.get(endpoint, [])
         # The most recently used connection is the least likely to be closed by now.
@@ -65,18 +76,21 @@
         factory = _ConnectionFactory(
             lambda: HttpConnection(self._clock, add_idle, remove_idle)
         )
-        connector = self._reactor.connectTCP(
-            endpoint.ip,
-            endpoint.port,
-            factory,
-            timeout=self._connect_timeout.total_seconds(),
-        )
+        connector = self._connect_to(endpoint, factory)
         connected = factory.connected
         exchange.set_connecting(_ConnectionAttempt(connector))
         connected.addCallbacks(
             _start_exchange, _fail_exchange, (exchange,), None, (exchange,)
         )
 
+    def _connect_to(self, endpoint, factory):
+        return self._reactor.connectTCP(
+            endpoint.ip,
+            endpoint.port,
+            factory,
+            timeout=self._connect_timeout.total_seconds(),
+        )
+
 
 class _ConnectionAttempt:
     """A connection that is being opened, which can be cancelled."""
@@ -110,6 +124,15 @@
         self.connected.errback(reason)
 
 
+def _close_connection(connection):
+    connection.transport.abortConnection()
+    return False
+
+
+def _is_refusal(reason):
+    return reason.check(ConnectionRefusedError) is not None
+
+
 def _start_exchange(connection, exchange):
     if exchange.has_failed:
         connection.abort_connection()
--- /dev/null
+++ b/libs/transport/tests/test_pool.py
@@ -0,0 +1,35 @@
+import unittest
+
+from balsamspoke_fakes import VirtualClock, VirtualTime
+from balsamspoke_transport.http_requests import Endpoint
+from balsamspoke_transport.pool import ConnectionPool
+from twisted.internet.error import ConnectionRefusedError, TimeoutError
+from twisted.internet.testing import MemoryReactor, StringTransport
+from twisted.python.failure import Failure
+
+
+class RefusalTests(unittest.TestCase):
+    def setUp(self):
+        self.reactor = MemoryReactor()
+        pool = ConnectionPool(self.reactor, VirtualClock(VirtualTime()), b"request-id")
+        self.results = []
+        pool.is_refusing(Endpoint("10.0.0.1", 80)).addBoth(self.results.append)
+        self.factory = self.reactor.tcpClients[0][2]
+
+    def test_a_refused_connection_is_a_refusal(self):
+        self.factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+        self.assertEqual(self.results, [True])
+
+    def test_no_response_is_no_refusal(self):
+        self.factory.clientConnectionFailed(None, Failure(TimeoutError()))
+        self.assertEqual(self.results, [False])
+
+    def test_a_connection_that_is_made_is_closed(self):
+        transport = StringTransport()
+        self.factory.buildProtocol(None).makeConnection(transport)
+        self.assertEqual(self.results, [False])
+        self.assertTrue(transport.disconnected)
+
+
+if __name__ == "__main__":
+    unittest.main()
