Go on after an unreadable object or an unexpected error

An entry in the store with a port or a version such as the digit "²", or a configuration with a time out of range, ended the coroutine that follows its kind: the process never heard of a replica, a drain or a configuration again, and a side process whose control loop met an unexpected error loaded no adapter any more. Operators of similar systems had told of one malformed message that took a process down.

Cause: str.isdigit accepts digits that int refuses; conversions raised other errors than the one for unreadable objects; the loops caught only the errors they expected.

--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -195,7 +195,13 @@
             apply_page(page, False)
 
         follower = Follower(
-            source, context.clock, self._reachability, on_list, on_change, min_interval
+            source,
+            context.clock,
+            self._reachability,
+            on_list,
+            on_change,
+            min_interval,
+            context.report_bug,
         )
         self._run(follower.run())
 
--- a/libs/gateway/src/balsamspoke_gateway/following.py
+++ b/libs/gateway/src/balsamspoke_gateway/following.py
@@ -5,6 +5,8 @@
 
 from balsamspoke_types.exceptions import StoreUnavailable, WatchExpired
 from balsamspoke_types.timing import sleep
+from twisted.internet.defer import CancelledError
+from twisted.python.failure import Failure
 
 # Backoff after a failed call, doubled up to the maximum. Calls are billed even if the
 # store refuses them, and all processes share its rate limit.
@@ -62,15 +64,28 @@
     min_interval : timedelta or None
         Shortest time between two polls after a change; changes in between arrive
         together.
+    report_bug : callable
+        Called with the Failure of an unexpected error, after which the records are
+        listed again.
     """
 
-    def __init__(self, source, clock, reachability, on_list, on_change, min_interval):
+    def __init__(
+        self,
+        source,
+        clock,
+        reachability,
+        on_list,
+        on_change,
+        min_interval,
+        report_bug,
+    ):
         self._source = source
         self._clock = clock
         self._reachability = reachability
         self._on_list = on_list
         self._on_change = on_change
         self._min_interval = min_interval
+        self._report_bug = report_bug
 
     async def run(self):
         """Follow the records until cancelled."""
@@ -82,11 +97,17 @@
                 await self._watch(revision)
             except WatchExpired:
                 continue
+            except CancelledError:
+                raise
             except StoreUnavailable as error:
                 self._reachability.record_failure(error)
                 delay = min(MAX_BACKOFF, MIN_BACKOFF * 2 ** min(failures, 4))
                 failures += 1
                 await sleep(self._clock, delay)
+            except Exception:
+                # Whoever follows the records would never hear of a change again.
+                self._report_bug(Failure())
+                await sleep(self._clock, MAX_BACKOFF)
 
     async def _list(self):
         page = await self._source.list_all()
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure
 
 from .adapter_load_times import AdapterLoadTimes
 from .adapters import AdapterPlan
@@ -16,7 +17,7 @@
 from .exceptions import AttemptError
 from .messages import EntryDemand, ReplicaState
 from .model_loads import ModelLoadMonitor
-from .observing import OrderGiven
+from .observing import OrderGiven, ProgramFailed
 from .pacing import MIN_INTERVAL, choose_interval
 from .reachability import Reachability
 
@@ -85,6 +86,10 @@
         """Start the control loop; return its Deferred."""
         return Deferred.fromCoroutine(self._run())
 
+    def report_bug(self, failure):
+        """Report the Failure of an unexpected error."""
+        self._observer.observe(ProgramFailed(failure.getTraceback()))
+
     def receive_message(self, ip, message):
         """Process a message from the entry process at an IP address."""
         if isinstance(message, AdmissionRequest):
@@ -112,7 +117,14 @@
 
     async def _run(self):
         while True:
-            has_sent_order = await self._step()
+            try:
+                has_sent_order = await self._step()
+            except CancelledError:
+                raise
+            except Exception:
+                # Without its control loop the replica would get no adapter any more.
+                self.report_bug(Failure())
+                has_sent_order = False
             await self._wait_for_wakeup(
                 ORDER_INTERVAL if has_sent_order else REPORT_INTERVAL
             )
--- a/libs/gateway/tests/test_entry.py
+++ b/libs/gateway/tests/test_entry.py
@@ -1,10 +1,12 @@
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 from balsamspoke_fakes.properties import examples
 from balsamspoke_gateway.exceptions import NotReady
 from balsamspoke_gateway.following import RecordChange, RecordPage
 from balsamspoke_gateway.messages import EntryUsage
+from balsamspoke_gateway.observing import ProgramFailed
 from balsamspoke_gateway.peers import PeerDirectory
 from balsamspoke_gateway.records import AnnouncedVersion
 from balsamspoke_gateway.replicas import RECOVERY_GRACE
@@ -99,6 +101,18 @@
         sink, _ = self.world.send("safe")
         self.assertEqual(sink.status, 200)
 
+    def test_goes_on_following_after_an_unexpected_error(self):
+        self.world.configure(1)
+        self.start()
+        with mock.patch.object(self.core, "_report_record_change") as report:
+            report.side_effect = RuntimeError("unexpected")
+            self.add("a")
+            self.world.pass_time(1)
+        self.world.pass_time(1)
+        self.assertEqual(self.world.list_replica_ids(), ["a"])
+        bugs = [e for e in self.world.observer.events if isinstance(e, ProgramFailed)]
+        self.assertIn("RuntimeError", bugs[0].traceback)
+
     def test_starts_during_a_store_outage_and_is_ready_after_it(self):
         self.world.configure(3)
         self.add("a")
--- a/libs/gateway/tests/test_side.py
+++ b/libs/gateway/tests/test_side.py
@@ -1,5 +1,6 @@
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 from balsamspoke_fakes import VirtualClock, VirtualTime
 from balsamspoke_gateway.adapters import EngineReport, OrderKind
@@ -7,6 +8,7 @@
 from balsamspoke_gateway.exceptions import AnswerLost
 from balsamspoke_gateway.messages import EntryDemand, ReplicaState, WantedAdapter
 from balsamspoke_gateway.model_loads import ModelLoadMonitor
+from balsamspoke_gateway.observing import ProgramFailed
 from balsamspoke_gateway.ports import ReplicaControl
 from balsamspoke_gateway.side import SideCore
 from twisted.internet.defer import fail, succeed
@@ -96,6 +98,16 @@
         self.time.advance(seconds(0.001))
         self.assertEqual([ip for ip, _ in self.peers.sent], ["10.0.1.1"])
 
+    def test_goes_on_after_an_unexpected_error(self):
+        with mock.patch.object(self.control, "read_report") as read_report:
+            read_report.side_effect = RuntimeError("unexpected")
+            self.time.advance(seconds(1))
+        self.send_demand("a1")
+        self.time.advance(seconds(1))
+        self.assertEqual(self.list_states()[-1].models, {MODEL: {"a1": 1}})
+        kinds = {type(each) for each in self.observer.events}
+        self.assertIn(ProgramFailed, kinds)
+
     def test_loads_a_wanted_adapter_and_reports_it(self):
         self.send_demand("a1")
         self.time.advance(seconds(0.02))
