Send nothing to a replica that says it leaves, and tell the peers

The header was not read, so a process went on sending until the store told it, and one that is cut off from the store for as long as it was: requests reached replicas later than the bound for drains allows.

The first answer with it, a success, an error or a refusal, takes the replica out of the directory's choice here and, by one message, at all peers; a side process tells what its replica's reports say. A start of a replica that was seen to leave stays so, whatever an entry says later; a new start does not. An answer of another replica at the same address (421) says nothing about this one.

--- a/libs/gateway/src/balsamspoke_gateway/adapters.py
+++ b/libs/gateway/src/balsamspoke_gateway/adapters.py
@@ -67,6 +67,8 @@
         Requests that run.
     waiting : int
         Requests that are queued.
+    is_leaving : bool
+        Whether the replica states that it leaves.
     """
 
     born: int
@@ -76,6 +78,7 @@
     is_busy: bool = False
     running: int = 0
     waiting: int = 0
+    is_leaving: bool = False
 
 
 @dataclass(slots=True)
--- a/libs/gateway/src/balsamspoke_gateway/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/attempt.py
@@ -188,6 +188,8 @@
         self.status = answer.status
         if answer.load is not None:
             self._context.fleet.record_server_load(self._record, answer.load)
+        if answer.is_leaving and not answer.is_misdirected:
+            self._context.record_leaving_answer(self._record)
         if not answer.has_run:
             if answer.is_misdirected:
                 self._context.fleet.record_misdirection(self._record)
--- a/libs/gateway/src/balsamspoke_gateway/context.py
+++ b/libs/gateway/src/balsamspoke_gateway/context.py
@@ -11,7 +11,8 @@
 from .configuration import Configuration
 from .demands import AdapterDemands
 from .fleet import Fleet
-from .observing import Observer, ProgramFailed
+from .messages import ReplicaLeaving
+from .observing import Observer, ProgramFailed, ReplicaChanged
 from .pacing import MIN_INTERVAL
 from .popularity import AdapterPopularity
 from .ports import PeerSender, ReplicaClient
@@ -62,8 +63,8 @@
         Holds requests until the process knows its configuration, replicas and peers.
     configuration : Configuration or None
         Configuration in force; None until the first one was read.
-    processes : int
-        Entry processes that share the fleet's budgets, including this one.
+    peer_ips : list of str
+        IP addresses of the other entry processes.
     demand_interval : timedelta
         Time between messages to each side process.
     is_stopping : bool
@@ -90,7 +91,7 @@
     quarantine: QuarantineCoordinator = field(init=False)
     startup: StartupGate = field(init=False)
     configuration: Configuration | None = None
-    processes: int = 1
+    peer_ips: list[str] = field(default_factory=list)
     demand_interval: timedelta = MIN_INTERVAL
     is_stopping: bool = False
     is_refusing: bool = False
@@ -102,6 +103,46 @@
         self.quarantine = QuarantineCoordinator(self)
         self.startup = StartupGate(self.clock)
 
+    @property
+    def processes(self):
+        """Number of entry processes that share the fleet's budgets, with this one."""
+        return len(self.peer_ips) + 1
+
+    def send_to_peers(self, message):
+        """Send a message to all other entry processes."""
+        for ip in self.peer_ips:
+            self.peers.send(ip, message)
+
+    def record_leaving(self, replica_id, born, reason):
+        """Send no further requests to a replica that leaves.
+
+        Parameters
+        ----------
+        replica_id : str
+            Id of the replica.
+        born : int
+            Start time of the replica in milliseconds.
+        reason : str
+            How this process learned it, for the log.
+
+        Returns
+        -------
+        bool
+            Whether this was not known before.
+        """
+        is_new = self.fleet.directory.mark_leaving(replica_id, born)
+        if is_new:
+            self.observer.observe(ReplicaChanged(replica_id, "leaving", reason))
+        return is_new
+
+    def record_leaving_answer(self, record):
+        """Record that the replica of a ReplicaRecord says in an answer that it leaves.
+
+        The peers are told, which may learn it from the store only much later.
+        """
+        if self.record_leaving(record.id, record.born, "it said so in an answer"):
+            self.send_to_peers(ReplicaLeaving(record.id, record.born))
+
     def find_retry_budget(self, service):
         """Return the RetryBudget of a service; it is created on first use."""
         budget = self.retry_budgets.get(service)
--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -10,7 +10,7 @@
 from .configuration import CallerLimits
 from .following import Follower
 from .forwarding import Forwarding
-from .messages import EntryUsage, ReplicaState
+from .messages import EntryUsage, ReplicaLeaving, ReplicaState
 from .observing import (
     AdapterAnnounced,
     ConfigurationAdopted,
@@ -155,15 +155,24 @@
         """Process a message from the side process or entry process at an IP address."""
         context = self.context
         if isinstance(message, ReplicaState):
-            for record in context.fleet.record_state(ip, message):
-                context.demands.record_state(record.id, message.models)
+            self._receive_state(ip, message)
         elif isinstance(message, AdmissionReply):
             context.admission_client.record_reply(message)
         elif isinstance(message, EntryUsage):
             self._receive_usage(ip, message)
+        elif isinstance(message, ReplicaLeaving):
+            context.record_leaving(message.replica, message.born, "a peer says so")
         else:
             context.quarantine.receive(ip, message)
 
+    def _receive_state(self, ip, state):
+        context = self.context
+        for record in context.fleet.record_state(ip, state):
+            context.demands.record_state(record.id, state.models)
+            if state.is_leaving:
+                reason = "its side process says so"
+                context.record_leaving(record.id, record.born, reason)
+
     def _receive_usage(self, ip, message):
         now = self.context.clock.monotonic()
         if ip in self._peers:
@@ -303,10 +312,9 @@
             return
         context = self.context
         peers = self._peers.ips
-        context.processes = len(peers) + 1
+        context.peer_ips = peers
         lifetime = choose_lifetime(choose_interval(len(peers)))
         context.quotas.set_peers(peers, lifetime, context.clock.monotonic())
-        context.quarantine.set_peers(peers)
         context.observer.observe(EntriesListed(context.processes))
         self._open_if_ready()
 
--- a/libs/gateway/src/balsamspoke_gateway/messages.py
+++ b/libs/gateway/src/balsamspoke_gateway/messages.py
@@ -94,6 +94,8 @@
         Estimated seconds of an adapter's load; 0 if not known.
     model_wait : float
         Predicted seconds until the replica holds its model; 0 if it does.
+    is_leaving : bool
+        Whether the replica states that it leaves.
     """
 
     born: int
@@ -109,6 +111,7 @@
     requires_admission: bool = False
     load_time: float = 0.0
     model_wait: float = 0.0
+    is_leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,3 +131,19 @@
     started: int
     tokens: dict[str, float] = field(default_factory=dict)
     levels: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaLeaving:
+    """Notice between entry processes that a replica has said that it leaves.
+
+    Attributes
+    ----------
+    replica : str
+        Id of the replica.
+    born : int
+        Start time of the replica in milliseconds; identifies one start of it.
+    """
+
+    replica: str
+    born: int
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
@@ -46,7 +46,6 @@
         )
         self._storage = None
         self._attempts = set()
-        self._peer_ips = []
         self._reported_parts = set()
 
     def start(self, store, on_store_error):
@@ -63,10 +62,6 @@
         self._run(self._load())
         self._run(self._gossip())
 
-    def set_peers(self, ips):
-        """Set the IP addresses of the other entry processes."""
-        self._peer_ips = list(ips)
-
     def count_entries(self):
         """Return the number of sets of prompt parts in quarantine."""
         return len(self._quarantine.list_sets(self._clock.monotonic()))
@@ -92,7 +87,7 @@
         """Record that a replica has answered a Prompt without a crash."""
         parts = prompt.shared_part_ids
         if self._clear(parts, ANSWERED_HERE):
-            self._send_to_all(AnsweredParts(parts))
+            self._context.send_to_peers(AnsweredParts(parts))
 
     async def investigate(self, record, request, identity):
         """Find out whether a request crashed the replica that broke off its answer.
@@ -145,11 +140,13 @@
             ReplicaCrashed(report.replica, request.id, suspect.parts)
         )
         self._reported_parts.update(suspect.parts)
-        self._send_to_all(report)
+        self._context.send_to_peers(report)
         causes = self._record_report(report)
         if not causes:
             return
-        self._send_to_all(QuarantineUpdate(self._quarantine.make_entries(now)))
+        self._context.send_to_peers(
+            QuarantineUpdate(self._quarantine.make_entries(now))
+        )
         if self._storage is not None:
             for cause in causes:
                 if cause.is_certain:
@@ -181,7 +178,7 @@
         reported = tuple(each for each in message.parts if each in self._reported_parts)
         if reported:
             # The others have the suspicion from this process.
-            self._send_to_all(AnsweredParts(reported))
+            self._context.send_to_peers(AnsweredParts(reported))
             self._reported_parts.difference_update(reported)
 
     def _clear(self, parts, reason):
@@ -202,10 +199,6 @@
         if answered:
             self._context.peers.send(ip, AnsweredParts(answered))
 
-    def _send_to_all(self, message):
-        for ip in self._peer_ips:
-            self._context.peers.send(ip, message)
-
     async def _load(self):
         self._adopt(await self._storage.load(), FROM_STORE)
         await self._storage.run()
@@ -216,11 +209,14 @@
             now = self._clock.monotonic()
             self._storage.retain(self._quarantine.list_sets(now))
             entries = self._quarantine.make_entries(now)
-            if entries and self._peer_ips:
-                number = int(self._context.draw() * len(self._peer_ips))
-                self._context.peers.send(
-                    self._peer_ips[number], QuarantineUpdate(entries)
-                )
+            if entries:
+                self._send_to_random_peer(QuarantineUpdate(entries))
+
+    def _send_to_random_peer(self, message):
+        ips = self._context.peer_ips
+        if ips:
+            ip = ips[int(self._context.draw() * len(ips))]
+            self._context.peers.send(ip, message)
 
     def _run(self, coroutine):
         Deferred.fromCoroutine(coroutine).addErrback(self._context.report_bug)
--- a/libs/gateway/src/balsamspoke_gateway/replicas.py
+++ b/libs/gateway/src/balsamspoke_gateway/replicas.py
@@ -1,11 +1,14 @@
 """Replicas as listed in the platform's store, also during the store's outages."""
 
-from dataclasses import dataclass, field
+from collections import OrderedDict
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 # Entries that expired during an outage of the store are written again within about two
 # seconds after it recovers. A replica whose entry is missing counts as live until then.
 RECOVERY_GRACE = timedelta(seconds=2.2)
+# Replicas remembered to be leaving; the oldest is forgotten first.
+MAX_LEAVING = 2_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,10 +79,14 @@
     the store is unreachable. A removal seen within ``RECOVERY_GRACE`` of the store's
     recovery may be an expiry that the replica is about to undo, so it takes effect only
     after that time. A later removal takes effect at once.
+
+    A replica that is leaving stays so until it starts anew, whatever its entry says: an
+    older copy of the entry may be read later.
     """
 
     def __init__(self):
         self._records = {}
+        self._leaving = OrderedDict()
         self._by_service = {}
         self._missing = set()
         self._grace_until = None
@@ -90,7 +97,7 @@
 
     def replace_all(self, records, now):
         """Replace all entries by a complete list of ReplicaRecords."""
-        listed = {record.id: record for record in records}
+        listed = {record.id: self._apply_leaving(record) for record in records}
         gone = set(self._records) - set(listed)
         self._missing -= set(listed)
         self._records.update(listed)
@@ -101,9 +108,35 @@
     def put(self, record):
         """Add or update a ReplicaRecord."""
         self._missing.discard(record.id)
-        self._records[record.id] = record
+        self._records[record.id] = self._apply_leaving(record)
         self._reindex()
 
+    def mark_leaving(self, replica_id, born):
+        """Record that one start of a replica is leaving.
+
+        Parameters
+        ----------
+        replica_id : str
+            Id of the replica, which need not have an entry yet.
+        born : int
+            Start time of the replica in milliseconds.
+
+        Returns
+        -------
+        bool
+            Whether this was not known before.
+        """
+        record = self._records.get(replica_id)
+        is_current = record is not None and record.born == born
+        was_known = (replica_id, born) in self._leaving or (
+            is_current and record.is_leaving
+        )
+        self._remember_leaving(replica_id, born)
+        if is_current and not record.is_leaving:
+            self._records[replica_id] = replace(record, is_leaving=True)
+            self._reindex()
+        return not was_known
+
     def remove(self, replica_id, now):
         """Remove the entry of a replica."""
         self._remove(replica_id, now)
@@ -132,6 +165,20 @@
         """Return all ReplicaRecords, including leaving ones."""
         return list(self._records.values())
 
+    def _apply_leaving(self, record):
+        """Return a ReplicaRecord as leaving if it is, or was before."""
+        if record.is_leaving:
+            self._remember_leaving(record.id, record.born)
+            return record
+        if (record.id, record.born) in self._leaving:
+            return replace(record, is_leaving=True)
+        return record
+
+    def _remember_leaving(self, replica_id, born):
+        self._leaving[replica_id, born] = None
+        while len(self._leaving) > MAX_LEAVING:
+            self._leaving.popitem(last=False)
+
     def _remove(self, replica_id, now):
         if self._grace_until is not None and now < self._grace_until:
             if replica_id in self._records:
--- a/libs/gateway/src/balsamspoke_gateway/requests.py
+++ b/libs/gateway/src/balsamspoke_gateway/requests.py
@@ -180,6 +180,8 @@
         Whether the answer carries a replica's signature.
     length : int or None
         Bytes of the body; None if not stated.
+    is_leaving : bool
+        Whether the replica states that it leaves and wants no further requests.
     is_framed : bool
         Whether the end of the answer is marked, by its length or the last of its
         chunks; otherwise it ends with the connection.
@@ -194,6 +196,7 @@
     is_signed: bool
     length: int | None = None
     load: ServerLoad | None = None
+    is_leaving: bool = False
     is_framed: bool = True
 
     @property
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -194,7 +194,8 @@
         interval = choose_interval(len(demands))
         # A change is sent at once to few entry processes, and with a delay to many.
         change_interval = interval - MIN_INTERVAL
-        content = (self._report.models, self._report.pending)
+        report = self._report
+        content = (report.models, report.pending, report.is_leaving)
         model_wait = self._model_loads.predict_wait(self._find_engine(), now)
         in_flight = sum(each.in_flight for each in demands.values())
         unread = sum(each.unread_tokens for each in demands.values())
@@ -219,6 +220,7 @@
                 self._admission.is_required,
                 self._load_times.estimate.total_seconds(),
                 model_wait.total_seconds(),
+                report.is_leaving,
             )
             self._peers.send(entry, state)
         for entry in set(self._last_sent) - set(demands):
--- a/libs/gateway/tests/test_forwarding.py
+++ b/libs/gateway/tests/test_forwarding.py
@@ -372,7 +372,7 @@
 class RetryBudgetTests(unittest.TestCase):
     def test_limits_the_retries_at_a_failing_service(self):
         world = World()
-        world.context.processes = 5
+        world.context.peer_ips = [f"10.0.1.{number}" for number in range(2, 6)]
         world.add(make_record("a"), make_record("b", number=2))
         world.client.answers = {}
         world.client.send = _make_failing_send(world.client)
--- a/libs/gateway/tests/test_side.py
+++ b/libs/gateway/tests/test_side.py
@@ -38,6 +38,8 @@
         Number of further orders that are lost before it receives them.
     is_unreachable : bool
         Whether reading its report fails.
+    is_leaving : bool
+        Whether its reports state that it leaves.
     """
 
     def __init__(self):
@@ -46,12 +48,14 @@
         self.sent_orders = []
         self.orders_to_lose = 0
         self.is_unreachable = False
+        self.is_leaving = False
 
     def read_report(self):
         if self.is_unreachable:
             return fail(AnswerLost("no answer in time"))
         models = {model: dict(names) for model, names in self.models.items()}
-        return succeed(EngineReport(1, models, orders=self.orders))
+        report = EngineReport(1, models, orders=self.orders, is_leaving=self.is_leaving)
+        return succeed(report)
 
     def send_order(self, order):
         self.sent_orders.append(order)
@@ -113,6 +117,13 @@
         self.time.advance(seconds(0.02))
         self.assertEqual(self.list_states()[-1].models, {MODEL: {"a1": 1}})
 
+    def test_tells_at_once_that_its_replica_leaves(self):
+        self.core.receive_message("10.0.1.1", EntryDemand())
+        self.time.advance(seconds(0.2))
+        self.control.is_leaving = True
+        self.time.advance(seconds(0.16))
+        self.assertTrue(self.list_states()[-1].is_leaving)
+
     def test_reports_the_number_of_wanted_adapters(self):
         self.control.orders_to_lose = 1000
         self.send_demand("a1", "a2", "a3")
--- a/libs/gateway/tests/world.py
+++ b/libs/gateway/tests/world.py
@@ -106,6 +106,8 @@
         Whether the replica sends nothing more after the last piece, not even the end.
     is_framed : bool
         Whether the end of the answer is marked; True by default.
+    is_leaving : bool
+        Whether the answer states that the replica leaves.
     """
 
     def __init__(self, status=200, pieces=(b"body",), **others):
@@ -118,6 +120,7 @@
         self.is_silent = others.pop("is_silent", False)
         self.goes_silent = others.pop("goes_silent", False)
         self.is_framed = others.pop("is_framed", True)
+        self.is_leaving = others.pop("is_leaving", False)
 
 
 class ScriptedExchange(Exchange):
@@ -141,6 +144,7 @@
                 answer.has_run,
                 answer.status == 421,
                 answer.is_signed,
+                is_leaving=answer.is_leaving,
                 is_framed=answer.is_framed,
             )
         )
--- a/libs/transport/src/balsamspoke_transport/calls.py
+++ b/libs/transport/src/balsamspoke_transport/calls.py
@@ -3,7 +3,7 @@
 from balsamspoke_types.timing import add_timeout
 
 from .exceptions import ReplyBroken
-from .http_requests import HttpRequest
+from .http_requests import BufferedResponse, HttpRequest
 
 
 class BufferedHttpClient:
@@ -41,8 +41,7 @@
 
         Returns
         -------
-        tuple of int and bytes
-            Status and body of the response.
+        BufferedResponse
 
         Raises
         ------
@@ -63,7 +62,7 @@
                 pieces.append(piece)
         finally:
             exchange.abort()
-        return head.status, b"".join(pieces)
+        return BufferedResponse(head, b"".join(pieces))
 
     def _limit(self, reading, timeout):
         error = ReplyBroken("timed out waiting for the response")
--- a/libs/transport/src/balsamspoke_transport/datagrams.py
+++ b/libs/transport/src/balsamspoke_transport/datagrams.py
@@ -6,7 +6,12 @@
     AdmissionRequest,
     PrefillEnded,
 )
-from balsamspoke_gateway.messages import EntryDemand, EntryUsage, ReplicaState
+from balsamspoke_gateway.messages import (
+    EntryDemand,
+    EntryUsage,
+    ReplicaLeaving,
+    ReplicaState,
+)
 from balsamspoke_gateway.ports import PeerSender
 from balsamspoke_gateway.quarantine import AnsweredParts, CrashReport, QuarantineUpdate
 from loguru import logger
@@ -26,6 +31,7 @@
     CrashReport: 8,
     QuarantineUpdate: 9,
     AnsweredParts: 10,
+    ReplicaLeaving: 11,
 }
 _DECODERS = {number: msgpack.Decoder(kind) for kind, number in _TYPE_NUMBERS.items()}
 
--- a/libs/transport/src/balsamspoke_transport/http_requests.py
+++ b/libs/transport/src/balsamspoke_transport/http_requests.py
@@ -67,6 +67,10 @@
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
 
+    def find_all(self, name):
+        """Return the values of a header, in order; its name is in lower case."""
+        return [value for found, value in self.headers if found == name]
+
     def find(self, name):
         """Return the first value of a header, or None.
 
@@ -79,3 +83,24 @@
             if found == name:
                 return value
         return None
+
+
+@dataclass(frozen=True, slots=True)
+class BufferedResponse:
+    """A whole response.
+
+    Attributes
+    ----------
+    head : HttpHead
+        Status and headers.
+    body : bytes
+        The complete body.
+    """
+
+    head: HttpHead
+    body: bytes
+
+    @property
+    def status(self):
+        """HTTP status."""
+        return self.head.status
