Leave a replica alone for the time that it asks for

The replica is no candidate for that time, for new requests, retries and requests that waited for an adapter; where all replicas of a service back off, callers are refused at once with the time after which the first of them takes requests. A later start of the replica isn't bound, and a time is bounded by a minute. Unreadable times count as absent and are logged once a minute for each replica.

--- a/libs/gateway/src/balsamspoke_gateway/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/attempt.py
@@ -17,6 +17,7 @@
     TimedOut,
 )
 from .late_events import is_late_event
+from .observing import BackoffRequested, HeaderUnreadable
 from .requests import ReplicaRequest
 from .streams import EventSplitter
 
@@ -188,8 +189,7 @@
         self.status = answer.status
         if answer.load is not None:
             self._context.fleet.record_server_load(self._record, answer.load)
-        if answer.is_leaving and not answer.is_misdirected:
-            self._context.record_leaving_answer(self._record)
+        self._record_wishes(answer)
         if not answer.has_run:
             if answer.is_misdirected:
                 self._context.fleet.record_misdirection(self._record)
@@ -202,6 +202,23 @@
         else:
             await self._forward_whole_answer(answer)
 
+    def _record_wishes(self, answer):
+        """Record whether the replica leaves, and for how long it wants no requests."""
+        for name in answer.unreadable_headers:
+            self._context.observer.observe(HeaderUnreadable(self._record.id, name))
+        if answer.is_misdirected:
+            # It may come from another replica at the address.
+            return
+        if answer.is_leaving:
+            self._context.record_leaving_answer(self._record)
+        if answer.retry_after is not None:
+            now = self._context.clock.monotonic()
+            fleet = self._context.fleet
+            fleet.backoffs.record(self._record, answer.retry_after, now)
+            self._context.observer.observe(
+                BackoffRequested(self._record.id, answer.retry_after)
+            )
+
     def _limit_to_attempt(self, waiter):
         """Limit a Deferred to the time left for the attempt."""
         forwarding = self._forwarding
--- a/libs/gateway/src/balsamspoke_gateway/fleet.py
+++ b/libs/gateway/src/balsamspoke_gateway/fleet.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 from .adapter_load_times import INITIAL_LOAD_TIME
+from .backoffs import RequestedBackoffs
 from .health import ReplicaHealth
 from .loads import ReplicaLoad
 from .pacing import choose_lifetime
@@ -38,12 +39,15 @@
         Entries of the replicas in the store.
     health : ReplicaHealth
         Circuit breakers of the replicas.
+    backoffs : RequestedBackoffs
+        Replicas that want no requests for a time.
     """
 
     def __init__(self, clock):
         self._clock = clock
         self.directory = ReplicaDirectory()
         self.health = ReplicaHealth()
+        self.backoffs = RequestedBackoffs()
         self._loads = {}
         self._states = {}
         self._cached_adapters = {}
@@ -132,6 +136,8 @@
     def list_candidates(self, service, model, excluded_replicas):
         """Return the Candidates of a service; unhealthy ones only if no other is left.
 
+        Replicas that asked for a backoff are no candidates.
+
         Parameters
         ----------
         service : str
@@ -146,20 +152,41 @@
         records = [
             each
             for each in records
-            if each.id not in excluded_replicas and not self._is_replaced(each)
+            if each.id not in excluded_replicas
+            and not self._is_replaced(each)
+            and self.backoffs.find_time_left(each, now) is None
         ]
         healthy = [each for each in records if not self.health.is_avoided(each.id, now)]
         return [self._make_candidate(each, model) for each in healthy or records]
 
     def is_available(self, record):
+        """Return whether a replica is listed and wants requests."""
+        now = self._clock.monotonic()
+        is_backing_off = self.backoffs.find_time_left(record, now) is not None
+        return self.is_staying(record) and not is_backing_off
+
+    def is_staying(self, record):
         """Return whether a replica is still listed and not leaving."""
         current = self.directory.find(record.id)
         return current is not None and not current.is_leaving
 
+    def find_backoff_left(self, service):
+        """Return the time until the first replica of a service takes requests.
+
+        The result is None if one does already, or if there is none.
+        """
+        now = self._clock.monotonic()
+        records = self.directory.list_service(service)
+        times_left = [self.backoffs.find_time_left(each, now) for each in records]
+        if not times_left or None in times_left:
+            return None
+        return min(times_left)
+
     def remove_unlisted(self):
         """Drop the state of replicas that are no longer in the directory."""
         listed = {record.id for record in self.directory.list_all()}
         self.health.retain(listed)
+        self.backoffs.retain(listed)
         for replica_id in set(self._loads) - listed:
             if self._loads[replica_id].in_flight == 0:
                 del self._loads[replica_id]
--- a/libs/gateway/src/balsamspoke_gateway/observing.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing.py
@@ -183,6 +183,38 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class BackoffRequested:
+    """A replica refused a request, and wants none for a time.
+
+    Attributes
+    ----------
+    replica : str
+        Id of the replica.
+    duration : timedelta
+        The time that it asked for.
+    """
+
+    replica: str
+    duration: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class HeaderUnreadable:
+    """A header of an answer could not be read, and counts as absent.
+
+    Attributes
+    ----------
+    source : str
+        Id of the replica that sent it, or ``store``.
+    header : str
+        Name of the header.
+    """
+
+    source: str
+    header: str
+
+
 @dataclass(frozen=True, slots=True)
 class AdapterAnnounced:
     """A version of an adapter was announced.
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
@@ -108,7 +108,7 @@
             return
         has_crashed = await self._detector.check(record)
         # A replica that leaves ends by itself.
-        if has_crashed and self._context.fleet.is_available(record):
+        if has_crashed and self._context.fleet.is_staying(record):
             self._report_crash(report, record, request)
 
     def receive(self, ip, message):
--- a/libs/gateway/src/balsamspoke_gateway/requests.py
+++ b/libs/gateway/src/balsamspoke_gateway/requests.py
@@ -182,6 +182,10 @@
         Bytes of the body; None if not stated.
     is_leaving : bool
         Whether the replica states that it leaves and wants no further requests.
+    retry_after : timedelta or None
+        Time for which the replica wants no requests; None if not stated.
+    unreadable_headers : tuple of str
+        Names of headers that could not be read and count as absent.
     is_framed : bool
         Whether the end of the answer is marked, by its length or the last of its
         chunks; otherwise it ends with the connection.
@@ -197,6 +201,8 @@
     length: int | None = None
     load: ServerLoad | None = None
     is_leaving: bool = False
+    retry_after: timedelta | None = None
+    unreadable_headers: tuple[str, ...] = ()
     is_framed: bool = True
 
     @property
--- a/libs/gateway/src/balsamspoke_gateway/selection.py
+++ b/libs/gateway/src/balsamspoke_gateway/selection.py
@@ -21,6 +21,8 @@
 # Callers that are refused until a model is loaded return within this time after it. A
 # replica that has its model still has to load the adapters that they request.
 MODEL_RETRY_SPREAD = timedelta(seconds=1)
+# Callers that are refused until a replica takes requests return within this time after.
+BACKOFF_RETRY_SPREAD = timedelta(milliseconds=300)
 # Time that a request waits for an adapter before it looks for a better replica.
 ADAPTER_TIMEOUT = timedelta(milliseconds=700)
 # After this many consecutive timeouts at a replica, its queue position there no longer
@@ -112,6 +114,11 @@
         if self._progress.possible_runs:
             return OutcomeUnknown("no other replica can take the request")
         service = self._forwarding.service
+        backoff_left = self._context.fleet.find_backoff_left(service)
+        if backoff_left is not None:
+            # The jitter keeps the callers from returning all at once.
+            delay = backoff_left + BACKOFF_RETRY_SPREAD * self._context.draw()
+            return NoReplica(f"all replicas of {service} asked for a backoff", delay)
         model_wait = self._context.fleet.predict_model_wait(service)
         if model_wait is None:
             return NoReplica(f"no replica of {service}", BUSY_RETRY_AFTER)
--- a/libs/gateway/tests/world.py
+++ b/libs/gateway/tests/world.py
@@ -108,6 +108,8 @@
         Whether the end of the answer is marked; True by default.
     is_leaving : bool
         Whether the answer states that the replica leaves.
+    retry_after : timedelta or None
+        Time for which the replica wants no requests; None by default.
     """
 
     def __init__(self, status=200, pieces=(b"body",), **others):
@@ -121,6 +123,7 @@
         self.goes_silent = others.pop("goes_silent", False)
         self.is_framed = others.pop("is_framed", True)
         self.is_leaving = others.pop("is_leaving", False)
+        self.retry_after = others.pop("retry_after", None)
 
 
 class ScriptedExchange(Exchange):
@@ -145,6 +148,7 @@
                 answer.status == 421,
                 answer.is_signed,
                 is_leaving=answer.is_leaving,
+                retry_after=answer.retry_after,
                 is_framed=answer.is_framed,
             )
         )
--- a/libs/transport/src/balsamspoke_transport/logs.py
+++ b/libs/transport/src/balsamspoke_transport/logs.py
@@ -8,6 +8,7 @@
     ANSWERED,
     AttemptEnded,
     DependencyLost,
+    HeaderUnreadable,
     Observer,
     ProgramFailed,
     RequestEnded,
@@ -28,6 +29,10 @@
 # Limits the memory and the number of lines of one interval.
 MAX_GROUPED_REQUESTS = 1000
 
+# Least time between two lines of such an event from one source: a server may send it in
+# each answer.
+REPEATED_LINE_INTERVAL = timedelta(minutes=1)
+
 _LEVELS = {DependencyLost: "WARNING", ProgramFailed: "ERROR"}
 
 
@@ -128,6 +133,7 @@
         self._unreported_left_out = 0
         self._groups = {}
         self._grouped_count = 0
+        self._repeated_lines = {}
 
     def observe(self, event):
         """Log an event, unless it is a success or beyond the rate."""
@@ -136,6 +142,8 @@
         if isinstance(event, RequestEnded) and event.outcome == ANSWERED:
             if event.attempts == 0:
                 return
+        if isinstance(event, HeaderUnreadable) and not self._is_due(event):
+            return
         is_request = isinstance(event, (AttemptEnded, RequestEnded))
         if not is_request or self._take_line():
             self._write(event)
@@ -148,6 +156,17 @@
             self._unreported_left_out += 1
             self.left_out += 1
 
+    def _is_due(self, event):
+        """Return whether an equal event was not logged lately."""
+        now = self._clock.monotonic()
+        logged_at = self._repeated_lines.get(event)
+        if logged_at is not None and now - logged_at < REPEATED_LINE_INTERVAL:
+            return False
+        if len(self._repeated_lines) >= MAX_GROUPED_REQUESTS:
+            self._repeated_lines.clear()
+        self._repeated_lines[event] = now
+        return True
+
     def _add_to_group(self, event):
         """Add a request to the line of its route, team, outcome and status."""
         if not self._groups:
