Begin anew with a store that was restored from an older copy

The code compared revisions across eras: a watch went on from a revision that meant something else and missed changes for good; the list of entry processes was ignored until the revision had grown past the old one, and a process that the copy lacks no longer shared the limits with the others; the entry of a replica that had left was believed again.

A position is now an era and a revision. A process that learns of a new era, from any answer or because a peer tells of it, reads all records again, spread over 300 ms, and writes its own entry and its quarantine again. An answer of an older era that comes late is not used. A process that starts in the middle of it refuses requests until it has the configuration of its peers. No lease and no fencing token is kept in the store.

--- a/libs/gateway/src/balsamspoke_gateway/context.py
+++ b/libs/gateway/src/balsamspoke_gateway/context.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import CancelledError
 
 from .admission_client import AdmissionClient
+from .catching_up import CatchingUp
 from .configuration import Configuration
 from .demands import AdapterDemands
 from .fleet import Fleet
@@ -59,6 +60,8 @@
         Requests the admission of prompts at side processes.
     quarantine : QuarantineCoordinator
         Refuses prompts that crash replicas.
+    catching_up : CatchingUp
+        Compares the configuration of a new process with that of its peers.
     startup : StartupGate
         Holds requests until the process knows its configuration, replicas and peers.
     configuration : Configuration or None
@@ -84,6 +87,7 @@
     draw: object = field(default_factory=lambda: random.Random().random)
     demands: AdapterDemands = field(default_factory=AdapterDemands)
     quotas: TeamQuotas = field(init=False)
+    catching_up: CatchingUp = field(default_factory=CatchingUp)
     versions: AdapterVersions = field(default_factory=AdapterVersions)
     prefix_tracker: PrefixTracker = field(default_factory=PrefixTracker)
     popularity: AdapterPopularity = field(default_factory=AdapterPopularity)
@@ -100,6 +104,7 @@
     def __post_init__(self):
         self.quotas = TeamQuotas(self.settings.quota_tolerance)
         self.admission_client = AdmissionClient(self.clock, self.peers, self.draw)
+        self.catching_up.start(self.clock.monotonic())
         self.quarantine = QuarantineCoordinator(self)
         self.startup = StartupGate(self.clock)
 
@@ -108,6 +113,17 @@
         """Number of entry processes that share the fleet's budgets, with this one."""
         return len(self.peer_ips) + 1
 
+    @property
+    def configuration_version(self):
+        """Version of the configuration in force; 0 if there is none yet."""
+        return 0 if self.configuration is None else self.configuration.version
+
+    @property
+    def is_behind_peers(self):
+        """Whether a peer of this new process has a newer configuration."""
+        now = self.clock.monotonic()
+        return self.catching_up.is_behind(self.configuration_version, now)
+
     def send_to_peers(self, message):
         """Send a message to all other entry processes."""
         for ip in self.peer_ips:
--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -1,5 +1,6 @@
 """Core of an entry process, which serves callers and follows the store and peers."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 from balsamspoke_types.exceptions import StoreUnavailable
@@ -8,6 +9,7 @@
 
 from .admission_messages import AdmissionReply
 from .configuration import CallerLimits
+from .exceptions import NO_DELAY
 from .following import Follower
 from .forwarding import Forwarding
 from .messages import EntryUsage, ReplicaLeaving, ReplicaState
@@ -15,12 +17,15 @@
     AdapterAnnounced,
     ConfigurationAdopted,
     EntriesListed,
+    PeersAhead,
     ReplicaChanged,
     ReplicasListed,
+    StoreRestored,
 )
 from .pacing import choose_interval, choose_lifetime
 from .peers import PeerDirectory
 from .reachability import STORE, Reachability
+from .replicas import RECOVERY_GRACE
 
 # Shortest time between two reads of replica changes, as a fraction of ``drain_time``,
 # the time to stop sending to a leaving replica. Each replica writes about once a
@@ -34,6 +39,10 @@
 # Interval of updates of the list of entry processes and of retries of failed writes.
 REGISTRY_INTERVAL = timedelta(milliseconds=600)
 
+# Time within which the processes read a restored store again, so that they don't all do
+# so at the same moment.
+RESTORE_READ_SPREAD = timedelta(milliseconds=300)
+
 # Jitter of the messages to peers, as a fraction of their interval. Without it,
 # processes that start together would keep sending at the same moments, and neither of
 # two crossing messages includes in its bucket levels what the other one reports.
@@ -65,6 +74,10 @@
         self._started = started
         self._peers = PeerDirectory(context.settings.ip)
         self._running = set()
+        self._followers = []
+        self._store_era = 0
+        self._heard_era = 0
+        self._replica_era = None
         self._reachability = Reachability(
             STORE, context.clock, context.observer, self._record_store_recovery
         )
@@ -75,6 +88,7 @@
         context = self.context
         return (
             context.configuration is not None
+            and not context.is_behind_peers
             and bool(context.fleet.directory.list_all())
             and not context.is_stopping
         )
@@ -87,8 +101,7 @@
     @property
     def configuration_version(self):
         """Version of the configuration in force; None if there is none yet."""
-        configuration = self.context.configuration
-        return None if configuration is None else configuration.version
+        return self.context.configuration_version or None
 
     @property
     def caller_limits(self):
@@ -175,11 +188,25 @@
 
     def _receive_usage(self, ip, message):
         now = self.context.clock.monotonic()
+        self._compare_with_peer(message, now)
         if ip in self._peers:
             self.context.quotas.record_usage(ip, message, now)
         elif self._peers.record_unlisted(ip, now):
             self._run(self._list_peers())
 
+    def _compare_with_peer(self, usage, now):
+        """Notice that a peer knows a newer configuration or era of the store."""
+        context = self.context
+        own_version = context.configuration_version
+        was_behind = context.is_behind_peers
+        context.catching_up.record_peer(usage.configuration, own_version, now)
+        if context.is_behind_peers and not was_behind:
+            context.observer.observe(PeersAhead(own_version, usage.configuration))
+        if usage.store_era > max(self._store_era, self._heard_era):
+            # A peer's word is no proof of the era; the store's answer will tell it.
+            self._heard_era = usage.store_era
+            self._run(self._list_peers())
+
     async def _list_peers(self):
         """Read the list of entry processes anew, besides the watch of its changes."""
         try:
@@ -198,6 +225,7 @@
         context = self.context
 
         def on_list(page):
+            self._store_era = max(self._store_era, page.position.era)
             apply_page(page, True)
 
         def on_change(page):
@@ -212,8 +240,30 @@
             min_interval,
             context.report_bug,
         )
+        self._followers.append(follower)
         self._run(follower.run())
 
+    def handle_restored_store(self, previous_era, era):
+        """Read all records again, and write again what the store may have lost.
+
+        Parameters
+        ----------
+        previous_era, era : int
+            Eras of the store before and now.
+        """
+        context = self.context
+        self._store_era = era
+        context.observer.observe(StoreRestored(previous_era, era))
+        # The follower whose call showed the new era is still processing the answer.
+        context.clock.call_later(NO_DELAY, self._restart_followers)
+        context.quarantine.rewrite_records()
+        # By then all processes have added themselves to the list again.
+        context.clock.call_later(RECOVERY_GRACE, lambda: self._run(self._list_peers()))
+
+    def _restart_followers(self):
+        for follower in self._followers:
+            follower.restart(RESTORE_READ_SPREAD * self.context.draw())
+
     def _run(self, coroutine):
         Deferred.fromCoroutine(coroutine).addErrback(self.context.report_bug)
 
@@ -255,8 +305,8 @@
         now = self.context.clock.monotonic()
         if is_full_list:
             records = [each.record for each in page.changes if each.record is not None]
-            directory.replace_all(records, now)
-            listed = ReplicasListed(len(records), page.revision)
+            self._adopt_replicas(records, page.position.era, now)
+            listed = ReplicasListed(len(records), page.position.revision)
             self.context.observer.observe(listed)
             self._send_demands()
             self._open_if_ready()
@@ -269,6 +319,15 @@
                 directory.put(change.record)
         self._open_if_ready()
 
+    def _adopt_replicas(self, records, era, now):
+        directory = self.context.fleet.directory
+        is_restored = self._replica_era is not None and era > self._replica_era
+        self._replica_era = era
+        if is_restored:
+            directory.restore(records, now)
+        else:
+            directory.replace_all(records, now)
+
     def _open_if_ready(self):
         context = self.context
         has_replicas = bool(context.fleet.directory.list_all())
@@ -350,7 +409,11 @@
     def _send_usage(self):
         context = self.context
         now = context.clock.monotonic()
-        message = context.quotas.make_usage(self._started, now)
+        message = replace(
+            context.quotas.make_usage(self._started, now),
+            configuration=context.configuration_version,
+            store_era=self._store_era,
+        )
         peers = self._peers.ips
         for ip in peers:
             context.peers.send(ip, message)
--- a/libs/gateway/src/balsamspoke_gateway/following.py
+++ b/libs/gateway/src/balsamspoke_gateway/following.py
@@ -5,7 +5,7 @@
 
 from balsamspoke_types.exceptions import StoreUnavailable, WatchExpired
 from balsamspoke_types.timing import sleep
-from twisted.internet.defer import CancelledError
+from twisted.internet.defer import CancelledError, ensureDeferred
 from twisted.python.failure import Failure
 
 # Backoff after a failed call, doubled up to the maximum. Calls are billed even if the
@@ -30,20 +30,37 @@
     record: object
 
 
+@dataclass(frozen=True, order=True, slots=True)
+class StorePosition:
+    """A point in the store's history.
+
+    Attributes
+    ----------
+    era : int
+        Number of times that the store was restored from an older copy, plus a constant.
+        Revisions of different eras can't be compared.
+    revision : int
+        Revision of the last change.
+    """
+
+    era: int
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class RecordPage:
-    """Records as of one revision of the store.
+    """Records as of one position of the store.
 
     Attributes
     ----------
     changes : tuple of RecordChange
         All records if the page is a list; the changed ones if it comes from a watch.
-    revision : int
-        Revision from which a watch continues.
+    position : StorePosition
+        Position from which a watch continues.
     """
 
     changes: tuple[RecordChange, ...]
-    revision: int
+    position: StorePosition
 
 
 class Follower:
@@ -86,19 +103,30 @@
         self._on_change = on_change
         self._min_interval = min_interval
         self._report_bug = report_bug
+        self._polling = None
+        self._restart_delay = None
+
+    def restart(self, delay):
+        """List the records again after a timedelta, instead of waiting for changes."""
+        if self._polling is not None:
+            self._restart_delay = delay
+            self._polling.cancel()
 
     async def run(self):
         """Follow the records until cancelled."""
         failures = 0
         while True:
             try:
-                revision = await self._list()
+                position = await self._list()
                 failures = 0
-                await self._watch(revision)
+                await self._watch(position)
             except WatchExpired:
                 continue
             except CancelledError:
-                raise
+                if self._restart_delay is None:
+                    raise
+                delay, self._restart_delay = self._restart_delay, None
+                await sleep(self._clock, delay)
             except StoreUnavailable as error:
                 self._reachability.record_failure(error)
                 delay = min(MAX_BACKOFF, MIN_BACKOFF * 2 ** min(failures, 4))
@@ -113,14 +141,21 @@
         page = await self._source.list_all()
         self._reachability.record_answer()
         self._on_list(page)
-        return page.revision
+        return page.position
 
-    async def _watch(self, revision):
+    async def _watch(self, position):
         while True:
-            page = await self._source.poll(revision)
+            page = await self._poll(position)
             self._reachability.record_answer()
             if page.changes:
                 self._on_change(page)
-            revision = max(revision, page.revision)
+            position = max(position, page.position)
             if page.changes and self._min_interval:
                 await sleep(self._clock, self._min_interval)
+
+    async def _poll(self, position):
+        self._polling = ensureDeferred(self._source.poll(position))
+        try:
+            return await self._polling
+        finally:
+            self._polling = None
--- a/libs/gateway/src/balsamspoke_gateway/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -105,6 +105,8 @@
             raise NotReady("the process is about to end", NO_DELAY)
         if configuration is None:
             raise NotReady("no configuration is known yet", BUSY_RETRY_AFTER)
+        if self.context.is_behind_peers:
+            raise NotReady("a peer has a newer configuration", BUSY_RETRY_AFTER)
         request = self.request
         max_body_bytes = configuration.caller_limits.body_bytes
         if len(request.body) > max_body_bytes:
--- a/libs/gateway/src/balsamspoke_gateway/messages.py
+++ b/libs/gateway/src/balsamspoke_gateway/messages.py
@@ -126,11 +126,17 @@
         Tokens admitted since the start of the process, by team.
     levels : dict
         Tokens left in the process's bucket, by team.
+    configuration : int
+        Version of the configuration in force at the process; 0 if there is none.
+    store_era : int
+        Era of the store that the process has read from; 0 if not known.
     """
 
     started: int
     tokens: dict[str, float] = field(default_factory=dict)
     levels: dict[str, float] = field(default_factory=dict)
+    configuration: int = 0
+    store_era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/balsamspoke_gateway/observing.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing.py
@@ -379,6 +379,38 @@
     name: str
 
 
+@dataclass(frozen=True, slots=True)
+class StoreRestored:
+    """The store was restored from an older copy; all records are read again.
+
+    Attributes
+    ----------
+    previous_era : int
+        Era of the store before.
+    era : int
+        Era of the store now.
+    """
+
+    previous_era: int
+    era: int
+
+
+@dataclass(frozen=True, slots=True)
+class PeersAhead:
+    """Requests are refused until the configuration that a peer has is known here.
+
+    Attributes
+    ----------
+    version : int
+        Version of the configuration here.
+    peer_version : int
+        Version of the configuration at the peer.
+    """
+
+    version: int
+    peer_version: int
+
+
 @dataclass(frozen=True, slots=True)
 class ProgramFailed:
     """An exception was not handled, which is a bug.
--- a/libs/gateway/src/balsamspoke_gateway/peers.py
+++ b/libs/gateway/src/balsamspoke_gateway/peers.py
@@ -27,14 +27,14 @@
         self._own_ip = own_ip
         self._is_registered = False
         self._names = {}
-        self._revision = None
+        self._position = None
         self._unlisted_since = {}
         self._relisted_at = None
 
     @property
     def is_known(self):
         """Whether the list was read since the start."""
-        return self._revision is not None
+        return self._position is not None
 
     @property
     def is_registered(self):
@@ -57,7 +57,8 @@
         """Apply a RecordPage of IP addresses.
 
         A page that is older than the last full list is ignored: a late answer to a
-        watch would undo what the list shows.
+        watch would undo what the list shows. The first list of a restored store lacks
+        processes that started since its copy, so it adds to those known before.
 
         Parameters
         ----------
@@ -71,12 +72,14 @@
         bool
             Whether the page was applied.
         """
-        if self._revision is not None and page.revision < self._revision:
+        if self._position is not None and page.position < self._position:
             return False
         was_listed = self._own_ip in self._names
         if is_full_list:
-            self._revision = page.revision
-            self._names = {}
+            if not self._is_restored(page):
+                self._names = {}
+            self._names.pop(self._own_ip, None)
+            self._position = page.position
         for change in page.changes:
             self._apply_change(change)
         is_listed = self._own_ip in self._names
@@ -90,6 +93,10 @@
         """Record that this process has added itself to the list."""
         self._is_registered = True
 
+    def _is_restored(self, page):
+        """Return whether a page is the first one of a store that was restored."""
+        return self._position is not None and page.position.era > self._position.era
+
     def _apply_change(self, change):
         for ip, name in list(self._names.items()):
             if name == change.name:
--- a/libs/gateway/src/balsamspoke_gateway/ports.py
+++ b/libs/gateway/src/balsamspoke_gateway/ports.py
@@ -109,11 +109,11 @@
         """Return an awaitable RecordPage of all records."""
 
     @abstractmethod
-    def poll(self, revision):
-        """Return an awaitable RecordPage of the changes after a revision.
+    def poll(self, position):
+        """Return an awaitable RecordPage of the changes after a StorePosition.
 
         The call waits for a change up to a time limit. It fails with WatchExpired if
-        the store no longer has the history since the revision.
+        the store no longer has the history since the position.
         """
 
 
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/storage.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/storage.py
@@ -11,6 +11,8 @@
 
 # Interval of attempts to write what is not stored yet.
 WRITE_INTERVAL = timedelta(milliseconds=600)
+# Removed records that are remembered, to be removed again from a restored store.
+MAX_REMEMBERED = 1_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +75,7 @@
         self._records = {}
         self._unwritten = set()
         self._removed = set()
+        self._ended = set()
 
     async def load(self):
         """Return a list of QuarantineEntries of the records, once the store answers."""
@@ -106,8 +109,9 @@
             self._removed.add(name)
 
     def rewrite(self):
-        """Write all records again, as the store has lost them."""
+        """Write and remove all records again, as the store has lost the changes."""
         self._unwritten = set(self._records)
+        self._removed |= self._ended - self._unwritten
 
     async def run(self):
         """Write and remove records until cancelled."""
@@ -125,3 +129,9 @@
         for name in list(self._removed):
             await self._store.remove(name)
             self._removed.discard(name)
+            self._remember_ended(name)
+
+    def _remember_ended(self, name):
+        if len(self._ended) >= MAX_REMEMBERED:
+            self._ended.clear()
+        self._ended.add(name)
--- a/libs/gateway/src/balsamspoke_gateway/replicas.py
+++ b/libs/gateway/src/balsamspoke_gateway/replicas.py
@@ -7,8 +7,8 @@
 # Entries that expired during an outage of the store are written again within about two
 # seconds after it recovers. A replica whose entry is missing counts as live until then.
 RECOVERY_GRACE = timedelta(seconds=2.2)
-# Replicas remembered to be leaving; the oldest is forgotten first.
-MAX_LEAVING = 2_000
+# Replicas remembered to be leaving, and to be gone; the oldest is forgotten first.
+MAX_REMEMBERED = 2_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +87,7 @@
     def __init__(self):
         self._records = {}
         self._leaving = OrderedDict()
+        self._gone = OrderedDict()
         self._by_service = {}
         self._missing = set()
         self._grace_until = None
@@ -95,6 +96,17 @@
         """Record the time (monotonic timedelta) at which the store recovered."""
         self._grace_until = now + RECOVERY_GRACE
 
+    def restore(self, records, now):
+        """Adopt the complete list of a store that was restored from an older copy.
+
+        What the list shows is older than what is known here, and replicas write their
+        entries anew within moments. So neither an entry that was removed is believed,
+        nor an older start of a replica; an entry that is missing counts as removed only
+        after ``RECOVERY_GRACE``.
+        """
+        self.record_store_recovery(now)
+        self.replace_all([each for each in records if self._is_news(each)], now)
+
     def replace_all(self, records, now):
         """Replace all entries by a complete list of ReplicaRecords."""
         listed = {record.id: self._apply_leaving(record) for record in records}
@@ -108,6 +120,7 @@
     def put(self, record):
         """Add or update a ReplicaRecord."""
         self._missing.discard(record.id)
+        self._gone.pop((record.id, record.born), None)
         self._records[record.id] = self._apply_leaving(record)
         self._reindex()
 
@@ -148,7 +161,7 @@
             return []
         gone = list(self._missing)
         for replica_id in gone:
-            self._records.pop(replica_id, None)
+            self._drop(replica_id)
         self._missing.clear()
         self._reindex()
         return gone
@@ -165,6 +178,11 @@
         """Return all ReplicaRecords, including leaving ones."""
         return list(self._records.values())
 
+    def _is_news(self, record):
+        known = self._records.get(record.id)
+        is_older = known is not None and known.born > record.born
+        return not is_older and (record.id, record.born) not in self._gone
+
     def _apply_leaving(self, record):
         """Return a ReplicaRecord as leaving if it is, or was before."""
         if record.is_leaving:
@@ -176,7 +194,7 @@
 
     def _remember_leaving(self, replica_id, born):
         self._leaving[replica_id, born] = None
-        while len(self._leaving) > MAX_LEAVING:
+        if len(self._leaving) > MAX_REMEMBERED:
             self._leaving.popitem(last=False)
 
     def _remove(self, replica_id, now):
@@ -184,7 +202,15 @@
             if replica_id in self._records:
                 self._missing.add(replica_id)
             return
-        self._records.pop(replica_id, None)
+        self._drop(replica_id)
+
+    def _drop(self, replica_id):
+        record = self._records.pop(replica_id, None)
+        if record is None:
+            return
+        self._gone[record.id, record.born] = None
+        if len(self._gone) > MAX_REMEMBERED:
+            self._gone.popitem(last=False)
 
     def _reindex(self):
         found = {}
--- a/libs/gateway/tests/entry_world.py
+++ b/libs/gateway/tests/entry_world.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from balsamspoke_gateway.entry import EntryCore
-from balsamspoke_gateway.following import RecordChange, RecordPage
+from balsamspoke_gateway.following import RecordChange, RecordPage, StorePosition
 from balsamspoke_gateway.ports import EntryRegistry, RecordSource
 from balsamspoke_gateway.quarantine import QuarantineStore
 from balsamspoke_gateway.records import EntrySources
@@ -25,6 +25,8 @@
         Whether all calls of clients fail.
     revision : int
         Number of changes so far.
+    era : int
+        Number of times that the store was restored, plus one.
     history : list of tuple
         Revision, kind and RecordChange of each change since the history was dropped.
     pollers : list of callable
@@ -41,11 +43,30 @@
         self.records["quarantine"] = {}
         self.is_unavailable = False
         self.revision = 0
+        self.era = 1
         self.history = []
         self.pollers = []
         self.silent_kinds = set()
         self.pending_lists = []
 
+    @property
+    def position(self):
+        """StorePosition of the last change."""
+        return StorePosition(self.era, self.revision)
+
+    def copy(self):
+        """Return a copy of the records, from which the store can be restored."""
+        return self.revision, {
+            kind: dict(records) for kind, records in self.records.items()
+        }
+
+    def restore(self, copy):
+        """Go back to an older copy, with a new era; pending polls stay unanswered."""
+        self.revision, records = copy
+        self.records = {kind: dict(found) for kind, found in records.items()}
+        self.history.clear()
+        self.era += 1
+
     def answer_lists(self):
         """Answer the pending lists, and all later ones at once."""
         self.silent_kinds.clear()
@@ -103,23 +124,28 @@
     def _make_list(self):
         found = self.store.records[self.kind].items()
         changes = tuple(RecordChange(name, record) for name, record in found)
-        return RecordPage(changes, self.store.revision)
+        return RecordPage(changes, self.store.position)
 
-    def poll(self, revision):
+    def poll(self, position):
         waiter = Deferred()
-        self._check_for_changes(revision, waiter)
+        self._check_for_changes(position, waiter)
         return waiter
 
-    def _check_for_changes(self, revision, waiter):
+    def _check_for_changes(self, position, waiter):
         store = self.store
-        if store.is_unavailable:
+        revision = position.revision
+        if waiter.called:
+            return
+        if position.era != store.era and not store.is_unavailable:
+            waiter.errback(WatchExpired("the store was restored"))
+        elif store.is_unavailable:
             waiter.errback(StoreUnavailable("the store is unavailable"))
         elif not store.history and store.revision > revision:
             waiter.errback(WatchExpired("the history was dropped"))
         elif changes := self._find_changes(revision):
-            waiter.callback(RecordPage(tuple(changes), store.revision))
+            waiter.callback(RecordPage(tuple(changes), store.position))
         else:
-            store.pollers.append(lambda: self._check_for_changes(revision, waiter))
+            store.pollers.append(lambda: self._check_for_changes(position, waiter))
 
     def _find_changes(self, revision):
         return [
--- a/libs/gateway/tests/test_entry.py
+++ b/libs/gateway/tests/test_entry.py
@@ -4,7 +4,7 @@
 
 from balsamspoke_fakes.properties import examples
 from balsamspoke_gateway.exceptions import NotReady
-from balsamspoke_gateway.following import RecordChange, RecordPage
+from balsamspoke_gateway.following import RecordChange, RecordPage, StorePosition
 from balsamspoke_gateway.messages import EntryUsage
 from balsamspoke_gateway.observing import ProgramFailed
 from balsamspoke_gateway.peers import PeerDirectory
@@ -177,8 +177,9 @@
     def test_ignores_a_late_answer_to_a_watch_that_a_newer_list_has_replaced(self):
         peers = PeerDirectory("10.0.1.1")
         both = tuple(RecordChange(ip, ip) for ip in ("10.0.1.1", "10.0.1.2"))
-        peers.apply(RecordPage(both, 8), True)
-        peers.apply(RecordPage((RecordChange("10.0.1.2", None),), 5), False)
+        peers.apply(RecordPage(both, StorePosition(1, 8)), True)
+        removal = (RecordChange("10.0.1.2", None),)
+        peers.apply(RecordPage(removal, StorePosition(1, 5)), False)
         self.assertEqual(peers.ips, ["10.0.1.2"])
 
     def test_reads_the_list_again_at_intervals_for_a_process_that_stays_unlisted(self):
