--- a/libs/gateway/tests/test_backoffs.py
+++ b/libs/gateway/tests/test_backoffs.py
@@ -19,8 +19,9 @@
         answer = Answer(503, has_run=False, retry_after=seconds(retry_after))
         script = [answer]
         self.world.client.answers = {replica: script}
-        while script:
+        for _ in range(5):
             self.world.send("safe")
+        self.assertEqual(script, [])
         self.world.client.sent.clear()
 
     def list_receivers(self):
--- a/libs/gateway/tests/test_leaving.py
+++ b/libs/gateway/tests/test_leaving.py
@@ -20,8 +20,9 @@
         """Send requests until the given replica has answered with an Answer."""
         script = [answer]
         self.world.client.answers = {replica: script}
-        while script:
+        for _ in range(5):
             self.world.send("safe")
+        self.assertEqual(script, [])
         self.world.client.sent.clear()
 
     def list_receivers(self):
--- a/libs/gateway/tests/test_quarantine.py
+++ b/libs/gateway/tests/test_quarantine.py
@@ -223,13 +223,12 @@
         self.assertEqual(self.send(Answer(pieces=EVENTS)).status, 200)
 
     def test_a_replica_that_leaves_has_not_crashed(self):
-        for record in self.records:
-            leaving = make_record(record.id, "engines", is_leaving=True)
-            self.script[:] = [Answer(is_silent=True)]
-            self.world.send("stream", parts=["part", "own"])
-            self.world.add(leaving)
-            reading = self.world.client.exchanges[-1]
-            reading.abort()
+        self.script[:] = [Answer(pieces=[EVENTS[0][:4]], goes_silent=True)]
+        self.world.send("stream", parts=["part", "own"])
+        replica, _ = self.world.client.sent[-1]
+        self.world.add(make_record(replica, "engines", is_leaving=True))
+        self.world.client.exchanges[-1].lose(ConnectionLost("reset"))
+        self.world.pass_time(0.1)
         self.assertEqual(self.count_events(ReplicaCrashed), 0)
 
     def test_does_not_retry_a_request_whose_prompt_got_into_quarantine(self):
@@ -281,6 +280,18 @@
         self.assertNotEqual(fleet.crashes, [])
         return traffic
 
+    def test_crashes_that_different_processes_see_are_put_together(self):
+        fleet = CrashingFleet()
+        fleet.pass_time(1)
+        entries = list(fleet.entries.values())
+        for entry in entries[:2]:
+            entry.send("stream", parts=["system", CRASHING_PART, "own"])
+            fleet.pass_time(1)
+        self.assertEqual(len(fleet.crashes), 2)
+        for entry in entries:
+            sink, _ = entry.send("stream", parts=["system", CRASHING_PART, "own"])
+            self.assertIsInstance(sink.refusal, PromptQuarantined)
+
     def test_processes_that_all_start_again_still_refuse_the_prompt(self):
         fleet = CrashingFleet()
         traffic = self.run_until_refused(fleet)
