--- a/libs/gateway/tests/test_quarantine.py
+++ b/libs/gateway/tests/test_quarantine.py
@@ -262,6 +262,22 @@
         self.assertIsInstance(sink.failure, OutcomeUnknown)
         self.assertEqual(self.send(Answer(pieces=())).status, 200)
 
+    def test_an_unframed_answer_is_no_proof_that_the_replica_goes_on(self):
+        crash = Answer(error=ConnectionLost("reset"))
+        self.send(crash)
+        self.send(Answer(pieces=EVENTS, is_framed=False))
+        self.send(crash)
+        self.assertIsInstance(self.send().refusal, PromptQuarantined)
+
+    def test_a_request_that_waited_for_its_adapter_is_refused(self):
+        sink, _ = self.world.send("stream", adapter="a7", parts=["bad", "own"])
+        entries = (QuarantineEntry(("bad",), 60.0),)
+        self.world.context.quarantine.receive("10.0.1.2", QuarantineUpdate(entries))
+        for record in self.records:
+            self.world.tell_state(record, {"a7": 1})
+        self.assertIsInstance(sink.refusal, PromptQuarantined)
+        self.assertEqual(self.world.client.sent, [])
+
     def test_tells_a_peer_that_suspects_a_part_which_was_answered(self):
         self.send(Answer(pieces=EVENTS))
         suspect = CrashSuspect("1", ("part", "unknown"))
