--- a/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
@@ -58,7 +58,9 @@
         on_store_error : callable
             Called with each StoreUnavailable.
         """
-        self._storage = QuarantineStorage(self._clock, store, on_store_error)
+        self._storage = QuarantineStorage(
+            self._clock, store, on_store_error, self._context.report_bug
+        )
         self._run(self._load())
         self._run(self._gossip())
 
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/storage.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/storage.py
@@ -6,6 +6,8 @@
 
 from balsamspoke_types.exceptions import StoreUnavailable
 from balsamspoke_types.timing import sleep
+from twisted.internet.defer import CancelledError
+from twisted.python.failure import Failure
 
 from .messages import QuarantineEntry
 
@@ -66,12 +68,15 @@
         Holds the records.
     on_error : callable
         Called with each StoreUnavailable.
+    report_bug : callable
+        Called with the Failure of an unexpected error.
     """
 
-    def __init__(self, clock, store, on_error):
+    def __init__(self, clock, store, on_error, report_bug):
         self._clock = clock
         self._store = store
         self._on_error = on_error
+        self._report_bug = report_bug
         self._records = {}
         self._unwritten = set()
         self._removed = set()
@@ -120,6 +125,12 @@
                 await self._write_pending()
             except StoreUnavailable as error:
                 self._on_error(error)
+            except CancelledError:
+                raise
+            except Exception:
+                # What can't be written must not keep the rest from being written.
+                self._report_bug(Failure())
+                self._unwritten.clear()
             await sleep(self._clock, WRITE_INTERVAL)
 
     async def _write_pending(self):
--- a/libs/gateway/tests/test_quarantine.py
+++ b/libs/gateway/tests/test_quarantine.py
@@ -1,6 +1,7 @@
 import math
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 from balsamspoke_fakes.properties import examples
 from balsamspoke_gateway.exceptions import (
@@ -16,15 +17,17 @@
     CrashSuspect,
     PromptQuarantine,
     QuarantineEntry,
+    QuarantineStorage,
     QuarantineUpdate,
 )
 from balsamspoke_gateway.quarantine.answered import TRUST_TIME
 from balsamspoke_gateway.quarantine.quarantine import UNCERTAIN_TIME
 from hypothesis import given
 from hypothesis import strategies as st
-from twisted.internet.defer import succeed
+from twisted.internet.defer import Deferred, succeed
 
 from .crashing_fleet import CRASHING_PART, CrashingFleet
+from .entry_world import EntryWorld, FakeQuarantineStore
 from .test_crashing_prompts import Traffic
 from .world import Answer, World, make_record, seconds
 
@@ -345,6 +348,22 @@
         fleet.pass_time(2)
         self.assertEqual(sink.status, 200)
 
+    def test_a_record_that_cant_be_written_does_not_keep_others_from_it(self):
+        world = EntryWorld()
+        store = FakeQuarantineStore(world.store)
+        bugs = []
+        storage = QuarantineStorage(world.clock, store, bugs.append, bugs.append)
+        running = Deferred.fromCoroutine(storage.run())
+        with mock.patch.object(store, "put", side_effect=TypeError("unexpected")):
+            storage.add({"first"}, seconds(60))
+            world.pass_time(1)
+        storage.add({"second"}, seconds(60))
+        world.pass_time(1)
+        running.addErrback(lambda _: None)
+        running.cancel()
+        self.assertIn(("second",), world.store.records["quarantine"])
+        self.assertEqual([each.type for each in bugs], [TypeError])
+
     def test_the_store_is_rid_of_what_has_ended(self):
         fleet = CrashingFleet()
         self.run_until_refused(fleet)
