--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/store_view.py
@@ -0,0 +1,263 @@
+"""What an entry process knows from the platform's store, kept up to date."""
+
+from datetime import timedelta
+
+from balsamspoke_types.exceptions import StoreUnavailable
+from balsamspoke_types.timing import sleep
+from twisted.internet.defer import Deferred
+
+from .exceptions import NO_DELAY
+from .following import Follower
+from .observing import (
+    AdapterAnnounced,
+    ConfigurationAdopted,
+    EntriesListed,
+    ReplicaChanged,
+    ReplicasListed,
+    StoreRestored,
+)
+from .pacing import choose_interval, choose_lifetime
+from .peers import PeerDirectory
+from .reachability import STORE, Reachability
+from .replicas import RECOVERY_GRACE
+
+# Shortest time between two reads of replica changes, as a fraction of ``drain_time``,
+# the time to stop sending to a leaving replica. Each replica writes about once a
+# second, and each read is billed.
+REPLICA_POLL_RATIO = 0.4
+# Shortest time between two reads of announced adapter versions.
+VERSION_POLL_INTERVAL = timedelta(milliseconds=500)
+# Shortest time between two reads of the list of entry processes.
+ENTRY_POLL_INTERVAL = timedelta(seconds=2)
+
+# Interval of updates of the list of entry processes and of retries of failed writes.
+REGISTRY_INTERVAL = timedelta(milliseconds=600)
+
+# Time within which the processes read a restored store again, so that they don't all do
+# so at the same moment.
+RESTORE_READ_SPREAD = timedelta(milliseconds=300)
+
+
+class StoreView:
+    """Apply the records of the store to the state of an entry process.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        Shared state of the process.
+    sources : EntrySources
+        Record kinds to follow.
+    registry : EntryRegistry
+        List of entry processes, to which this process adds itself.
+    on_change : callable
+        Called without arguments when the configuration or all replicas were read.
+
+    Attributes
+    ----------
+    peers : PeerDirectory
+        The other entry processes.
+    reachability : Reachability
+        Whether the store answers.
+    era : int
+        Era of the store that was read last; 0 if not known.
+    """
+
+    def __init__(self, context, sources, registry, on_change):
+        self._context = context
+        self._sources = sources
+        self._registry = registry
+        self._on_change = on_change
+        self._followers = []
+        self._replica_era = None
+        self._heard_era = 0
+        self.peers = PeerDirectory(context.settings.ip)
+        self.reachability = Reachability(
+            STORE, context.clock, context.observer, self._record_store_recovery
+        )
+        self.era = 0
+
+    def start(self):
+        """Start to follow the records; return at once."""
+        sources = self._sources
+        self._follow(sources.configurations, self._apply_configurations, None)
+        replica_interval = REPLICA_POLL_RATIO * self._context.settings.drain_time
+        self._follow(sources.replicas, self._apply_replicas, replica_interval)
+        self._follow(sources.versions, self._apply_versions, VERSION_POLL_INTERVAL)
+        self._follow(sources.entries, self._apply_entries, ENTRY_POLL_INTERVAL)
+        self._run(self._maintain_registry())
+
+    def record_peer_era(self, era):
+        """Ask the store for its era if a peer tells of a later one."""
+        if era > max(self.era, self._heard_era):
+            # A peer's word is no proof of the era; the store's answer will tell it.
+            self._heard_era = era
+            self.read_peers()
+
+    def read_peers(self):
+        """Read the list of entry processes anew, besides the watch of its changes."""
+        self._run(self._list_peers())
+
+    def _follow(self, source, apply_page, min_interval):
+        context = self._context
+
+        def on_list(page):
+            self.era = max(self.era, page.position.era)
+            apply_page(page, True)
+
+        def on_change(page):
+            apply_page(page, False)
+
+        follower = Follower(
+            source,
+            context.clock,
+            self.reachability,
+            on_list,
+            on_change,
+            min_interval,
+            context.report_bug,
+        )
+        self._followers.append(follower)
+        self._run(follower.run())
+
+    def handle_restored_store(self, previous_era, era):
+        """Read all records again, and write again what the store may have lost.
+
+        Parameters
+        ----------
+        previous_era, era : int
+            Eras of the store before and now.
+        """
+        context = self._context
+        self.era = era
+        context.observer.observe(StoreRestored(previous_era, era))
+        # The follower whose call showed the new era is still processing the answer.
+        context.clock.call_later(NO_DELAY, self._restart_followers)
+        context.quarantine.rewrite_records()
+        # By then all processes have added themselves to the list again.
+        context.clock.call_later(RECOVERY_GRACE, self.read_peers)
+
+    def _restart_followers(self):
+        for follower in self._followers:
+            follower.restart(RESTORE_READ_SPREAD * self._context.draw())
+
+    async def _maintain_registry(self):
+        """Keep this process in the list, and remove peers assumed to have ended."""
+        context = self._context
+        while True:
+            try:
+                if not self.peers.is_registered:
+                    await self._registry.register()
+                    self.peers.record_registration()
+                for ip in context.quotas.list_expired_peers(context.clock.monotonic()):
+                    if ip in self.peers:
+                        await self._registry.remove(self.peers.find_name(ip))
+            except StoreUnavailable as error:
+                self.reachability.record_failure(error)
+            await sleep(context.clock, REGISTRY_INTERVAL)
+
+    async def _list_peers(self):
+        try:
+            page = await self._sources.entries.list_all()
+        except StoreUnavailable as error:
+            self.reachability.record_failure(error)
+            return
+        self.reachability.record_answer()
+        self._apply_entries(page, True)
+
+    def _record_store_recovery(self):
+        self._context.fleet.directory.record_store_recovery(
+            self._context.clock.monotonic()
+        )
+
+    def _apply_configurations(self, page, is_full_list):
+        context = self._context
+        for change in page.changes:
+            candidate = change.record
+            current = context.configuration
+            if candidate is None:
+                continue
+            if current is None or candidate.version > current.version:
+                context.configuration = candidate
+                context.observer.observe(ConfigurationAdopted(candidate.version))
+                self._on_change()
+                self._open_if_ready()
+
+    def _apply_replicas(self, page, is_full_list):
+        directory = self._context.fleet.directory
+        now = self._context.clock.monotonic()
+        if is_full_list:
+            records = [each.record for each in page.changes if each.record is not None]
+            self._adopt_replicas(records, page.position.era, now)
+            listed = ReplicasListed(len(records), page.position.revision)
+            self._context.observer.observe(listed)
+            self._on_change()
+            self._open_if_ready()
+            return
+        for change in page.changes:
+            self._report_record_change(change)
+            if change.record is None:
+                directory.remove(change.name, now)
+            else:
+                directory.put(change.record)
+        self._open_if_ready()
+
+    def _adopt_replicas(self, records, era, now):
+        directory = self._context.fleet.directory
+        is_restored = self._replica_era is not None and era > self._replica_era
+        self._replica_era = era
+        if is_restored:
+            directory.restore(records, now)
+        else:
+            directory.replace_all(records, now)
+
+    def _apply_versions(self, page, is_full_list):
+        for change in page.changes:
+            announced = change.record
+            if announced is not None:
+                self._context.versions.announce(
+                    announced.model, announced.adapter, announced.version
+                )
+                if not is_full_list:
+                    self._context.observer.observe(
+                        AdapterAnnounced(
+                            announced.model, announced.adapter, announced.version
+                        )
+                    )
+
+    def _apply_entries(self, page, is_full_list):
+        if not self.peers.apply(page, is_full_list):
+            return
+        context = self._context
+        peers = self.peers.ips
+        context.peer_ips = peers
+        lifetime = choose_lifetime(choose_interval(len(peers)))
+        context.quotas.set_peers(peers, lifetime, context.clock.monotonic())
+        context.observer.observe(EntriesListed(context.processes))
+        self._open_if_ready()
+
+    def _open_if_ready(self):
+        context = self._context
+        has_replicas = bool(context.fleet.directory.list_all())
+        if context.configuration is not None and has_replicas and self.peers.is_known:
+            context.startup.open()
+
+    def _report_record_change(self, change):
+        previous = self._context.fleet.directory.find(change.name)
+        if change.record is None:
+            self._report_change(
+                change.name, "gone", "its entry in the store was removed"
+            )
+        elif previous is None:
+            self._report_change(
+                change.name, "new", "its entry in the store was written"
+            )
+        elif change.record.is_leaving and not previous.is_leaving:
+            self._report_change(
+                change.name, "leaving", "its entry in the store is marked as leaving"
+            )
+
+    def _report_change(self, replica, change, reason):
+        self._context.observer.observe(ReplicaChanged(replica, change, reason))
+
+    def _run(self, coroutine):
+        Deferred.fromCoroutine(coroutine).addErrback(self._context.report_bug)
--- a/libs/gateway/tests/test_restored_store.py
+++ b/libs/gateway/tests/test_restored_store.py
@@ -116,7 +116,7 @@
         self.assertEqual(self.list_staying(), ["a", "b", "c"])
 
     def test_asks_the_store_once_when_a_peer_tells_of_a_new_era(self):
-        entries = self.world.core._sources.entries
+        entries = self.world.core._store_view._sources.entries
         with mock.patch.object(entries, "list_all", wraps=entries.list_all) as read:
             for _ in range(5):
                 usage = EntryUsage(1, store_era=2)
