--- a/libs/gateway/tests/world.py
+++ b/libs/gateway/tests/world.py
@@ -409,6 +409,23 @@
         running = Deferred.fromCoroutine(Forwarding(self.context, request, sink).run())
         return sink, running
 
+    def exchange(self, replica, answer):
+        """Send plain requests of which one gets the given Answer from a replica."""
+        script = [answer]
+        self.client.answers = {replica: script}
+        for _ in range(5):
+            self.send("safe")
+        assert not script
+        self.client.sent.clear()
+
+    def list_receivers(self):
+        """Return the ids of the replicas that the next plain requests are sent to."""
+        for _ in range(10):
+            self.send("safe")
+        receivers = {replica for replica, _ in self.client.sent}
+        self.client.sent.clear()
+        return receivers
+
     def pass_time(self, duration):
         """Advance the virtual time by a number of seconds."""
         self.time.advance(seconds(duration))
