Don't hold up a retry for a replica that doesn't respond

A request that lost its replica waits until it is known whether the replica has crashed. A replica without power refuses nothing, and the check took the connect timeout of 500 ms. It ends after 100 ms now, and the attempt to connect with it; a refusal arrives within a round trip.

--- a/libs/gateway/src/balsamspoke_gateway/quarantine/crash_detection.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/crash_detection.py
@@ -2,11 +2,15 @@
 
 from datetime import timedelta
 
-from balsamspoke_types.timing import sleep
+from balsamspoke_types.timing import add_timeout, sleep
 from twisted.internet.defer import Deferred
 
+from ..exceptions import AnswerOverdue
+
 # A process that ends closes its connections and its port in any order.
 CHECK_DELAY = timedelta(milliseconds=20)
+# A request that may run again waits for the check. A refusal arrives at once.
+MAX_CHECK_TIME = timedelta(milliseconds=100)
 
 
 class CrashDetector:
@@ -43,7 +47,14 @@
 
     async def _check(self, record):
         await sleep(self._clock, CHECK_DELAY)
-        return await self._is_refusing(record)
+        checking = self._is_refusing(record)
+        timeout_error = AnswerOverdue("the replica neither accepts nor refuses")
+        try:
+            return await add_timeout(
+                checking, self._clock, MAX_CHECK_TIME, timeout_error
+            )
+        except AnswerOverdue:
+            return False
 
     def _finish(self, result, key):
         for waiter in self._waiters.pop(key):
--- a/libs/gateway/tests/test_quarantine.py
+++ b/libs/gateway/tests/test_quarantine.py
@@ -225,6 +225,13 @@
         self.assertEqual(self.count_events(ReplicaCrashed), 0)
         self.assertEqual(self.send(Answer(pieces=EVENTS)).status, 200)
 
+    def test_a_replica_that_does_not_respond_delays_the_retry_only_shortly(self):
+        self.world.client.is_refusing = lambda record: Deferred()
+        script = [Answer(error=ConnectionLost("reset")), Answer(pieces=EVENTS)]
+        sink = self.send(*script, route="resumable")
+        self.assertEqual((sink.status, sink.is_finished), (200, True))
+        self.assertEqual(self.count_events(ReplicaCrashed), 0)
+
     def test_a_replica_that_leaves_has_not_crashed(self):
         self.script[:] = [Answer(pieces=[EVENTS[0][:4]], goes_silent=True)]
         self.world.send("stream", parts=["part", "own"])
--- a/libs/transport/src/balsamspoke_transport/pool.py
+++ b/libs/transport/src/balsamspoke_transport/pool.py
@@ -49,11 +49,14 @@
         """Return a Deferred of whether an Endpoint refuses a new connection.
 
         A connection that is made is closed at once. An endpoint that does not respond
-        counts as not refusing.
+        counts as not refusing; so does a cancelled attempt.
         """
         factory = _ConnectionFactory(Protocol)
-        self._connect_to(endpoint, factory)
-        return factory.connected.addCallbacks(_close_connection, _is_refusal)
+        attempt = _ConnectionAttempt(self._connect_to(endpoint, factory))
+        result = Deferred(lambda _: attempt.cancel())
+        checked = factory.connected.addCallbacks(_close_connection, _is_refusal)
+        checked.chainDeferred(result)
+        return result
 
     def _take_idle_connection(self, endpoint, request):
         idle = self._idle_connections.get(endpoint, [])
--- a/libs/transport/tests/test_pool.py
+++ b/libs/transport/tests/test_pool.py
@@ -3,7 +3,7 @@
 from balsamspoke_fakes import VirtualClock, VirtualTime
 from balsamspoke_transport.http_requests import Endpoint
 from balsamspoke_transport.pool import ConnectionPool
-from twisted.internet.error import ConnectionRefusedError, TimeoutError
+from twisted.internet.error import ConnectionRefusedError, TimeoutError, UserError
 from twisted.internet.testing import MemoryReactor, StringTransport
 from twisted.python.failure import Failure
 
@@ -13,7 +13,8 @@
         self.reactor = MemoryReactor()
         pool = ConnectionPool(self.reactor, VirtualClock(VirtualTime()), b"request-id")
         self.results = []
-        pool.is_refusing(Endpoint("10.0.0.1", 80)).addBoth(self.results.append)
+        self.checking = pool.is_refusing(Endpoint("10.0.0.1", 80))
+        self.checking.addBoth(self.results.append)
         self.factory = self.reactor.tcpClients[0][2]
 
     def test_a_refused_connection_is_a_refusal(self):
@@ -24,6 +25,14 @@
         self.factory.clientConnectionFailed(None, Failure(TimeoutError()))
         self.assertEqual(self.results, [False])
 
+    def test_a_cancelled_attempt_is_no_refusal_and_leaves_nothing_open(self):
+        connector = self.reactor.connectors[0]
+        connector.stopConnecting = lambda: self.factory.clientConnectionFailed(
+            connector, Failure(UserError())
+        )
+        self.checking.cancel()
+        self.assertEqual(self.results, [False])
+
     def test_a_connection_that_is_made_is_closed(self):
         transport = StringTransport()
         self.factory.buildProtocol(None).makeConnection(transport)
