Forward streams of requests without a token count

A request whose Token-Count is missing or unreadable counts as 0 tokens. On a route that states an interval between events, its first event was taken for a later one and met a time that was not set (TypeError): the caller got 502 though the replica had answered. With an answer that ends with its connection the stream would now have counted as broken off before its first event.

The attempt goes by whether an event has come instead of by unread tokens. The test failed before; it also sends a request without any prompt.

--- a/libs/gateway/src/balsamspoke_gateway/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/attempt.py
@@ -276,7 +276,7 @@
 
     def _read_stream_piece(self):
         reading = self._exchange.read_piece()
-        if self._unread_tokens:
+        if self._first_event_at is None:
             return self._limit_to_attempt(reading)
         time_left = max(NO_DELAY, self._forwarding.time_left())
         error = TimedOut("the time for the stream is over")
@@ -290,7 +290,7 @@
         ]
         if not new_events:
             return
-        if self._unread_tokens:
+        if self._first_event_at is None:
             self._record_first_event()
         else:
             self._record_interval()
@@ -327,6 +327,8 @@
 
     def _record_first_event(self):
         self._first_event_at = self._context.clock.monotonic()
+        if not self._unread_tokens:
+            return
         waited = self._first_event_at - self._sent_at
         self._load.record_first_event(self._backlog, waited)
         prompt = self._forwarding.request.prompt
--- a/libs/gateway/tests/test_forwarding.py
+++ b/libs/gateway/tests/test_forwarding.py
@@ -197,6 +197,15 @@
         ended = [e for e in self.world.observer.events if isinstance(e, AttemptEnded)]
         self.assertEqual(ended[0].prompt_parts, ("system", "examples"))
 
+    def test_forwards_streams_without_a_token_count_or_a_prompt(self):
+        for is_framed in (True, False):
+            self.script_both(Answer(pieces=EVENTS, is_framed=is_framed))
+            for others in ({"tokens": 0}, {"has_prompt": False}):
+                sink, _ = self.world.send("paced-stream", **others)
+                self.assertEqual(sink.body, b"".join(EVENTS))
+                self.assertTrue(sink.is_finished)
+                self.script_both(Answer(pieces=EVENTS, is_framed=is_framed))
+
     def test_truncates_a_broken_stream_that_may_not_be_resumed(self):
         self.script_both(Answer(pieces=[EVENTS[0]], breaks=True))
         sink, _ = self.world.send("stream")
--- a/libs/gateway/tests/world.py
+++ b/libs/gateway/tests/world.py
@@ -72,6 +72,13 @@
             is_public=True,
             objective=seconds(2),
         ),
+        make_route(
+            "paced-stream",
+            RequestKind.STREAMING,
+            "engines",
+            is_public=True,
+            max_event_interval=seconds(0.4),
+        ),
         make_route("keyed", RequestKind.SAFE, "plain", max_attempts=2),
         make_route("keyed-stream", RequestKind.STREAMING, "engines"),
     ),
@@ -365,6 +372,7 @@
         tokens=100,
         body=b"",
         parts=(),
+        has_prompt=True,
         **others,
     ):
         """Start a request on a route; return its RecordedSink and its Deferred.
@@ -385,11 +393,13 @@
             Body of the request.
         parts : sequence of str
             Ids of the parts of the prompt, in order.
+        has_prompt : bool
+            Whether a request for a stream names a model and a prompt.
         **others
             Further fields of the CallerRequest.
         """
         prompt = None
-        if route == "resumable" or route.endswith("stream"):
+        if has_prompt and (route == "resumable" or route.endswith("stream")):
             prompt_parts = tuple(PromptPart(part, 10) for part in parts)
             prompt = Prompt(AdapterName(MODEL, adapter), tokens, 50, prompt_parts)
         request = CallerRequest(
