--- a/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
@@ -15,6 +15,8 @@
 # Interval at which the quarantine is sent to a peer chosen at random: to those that
 # have just started, and for messages that were lost.
 GOSSIP_INTERVAL = timedelta(milliseconds=500)
+# Parts that this process has reported, of which it passes answers on to its peers.
+MAX_REPORTED_PARTS = 1_000
 
 OWN_CRASHES = "crashes of replicas here and at peers"
 FROM_PEER = "a peer has it"
@@ -141,7 +143,7 @@
         self._observer.observe(
             ReplicaCrashed(report.replica, request.id, suspect.parts)
         )
-        self._reported_parts.update(suspect.parts)
+        self._remember_reported(suspect.parts)
         self._context.send_to_peers(report)
         causes = self._record_report(report)
         if not causes:
@@ -154,6 +156,11 @@
                 if cause.is_certain:
                     self._storage.add(cause.parts, QUARANTINE_TIME)
 
+    def _remember_reported(self, parts):
+        if len(self._reported_parts) > MAX_REPORTED_PARTS:
+            self._reported_parts.clear()
+        self._reported_parts.update(parts)
+
     def _record_report(self, report):
         now = self._clock.monotonic()
         causes = self._quarantine.record_crash(report, now)
