Don't take a part that many prompts have for the cause of crashes

None of the team's prompts had been answered yet, so the part was suspected, and it was in requests at both replicas as in a third of all requests; the true cause had by then been reported with one request only. Sound requests with the part were refused.

A set of parts that a quarter of a process's last 200 prompts have is no cause any more: it is at each crash by chance. Two crashes now refuse a set for 30 s, and only a third one for ten minutes and in the store, unless another set explains as much. Of sets that explain the same the largest is refused, which refuses the fewest requests.

--- a/libs/gateway/src/balsamspoke_gateway/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -121,6 +121,7 @@
         self.service = self.route.choose_service(self.context.draw())
         self._charge()
         if request.prompt is not None:
+            self.context.quarantine.record_prompt(request.prompt)
             popularity = self.context.popularity
             self.popularity = popularity.count_request(
                 request.prompt.target, self.started_at
--- a/libs/gateway/src/balsamspoke_gateway/observing.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing.py
@@ -326,11 +326,15 @@
     ----------
     parts : tuple of str
         Ids of the parts; a prompt that has all of them is refused.
+    is_certain : bool
+        Whether they are known to crash replicas; otherwise they are refused for a
+        shorter time.
     reason : str
         How this process learned it.
     """
 
     parts: tuple[str, ...]
+    is_certain: bool
     reason: str
 
 
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
@@ -68,7 +68,7 @@
 
     def count_entries(self):
         """Return the number of sets of prompt parts in quarantine."""
-        return len(self._quarantine.list_sets(self._clock.monotonic()))
+        return len(self._quarantine.list_entries(self._clock.monotonic()))
 
     def check(self, prompt):
         """Raise PromptQuarantined if a Prompt, or None, must not be sent."""
@@ -79,6 +79,10 @@
         if time_left is not None:
             raise PromptQuarantined(time_left)
 
+    def record_prompt(self, prompt):
+        """Record a Prompt that this process received, whatever becomes of it."""
+        self._quarantine.record_prompt(prompt.shared_part_ids)
+
     def add_attempt(self, attempt):
         """Recall an Attempt if its prompt gets into quarantine while it runs."""
         self._attempts.add(attempt)
@@ -113,7 +117,7 @@
         has_crashed = await self._detector.check(record)
         # A replica that leaves ends by itself.
         if has_crashed and self._context.fleet.is_staying(record):
-            self._report_crash(report, record, request)
+            self._report_crash(report, request)
 
     def receive(self, ip, message):
         """Process a message of a peer; return whether it concerns the quarantine."""
@@ -136,25 +140,23 @@
         if self._storage is not None:
             self._storage.rewrite()
 
-    def _report_crash(self, report, record, request):
+    def _report_crash(self, report, request):
         now = self._clock.monotonic()
-        self._context.fleet.health.record_failure(record.id, now, True)
         suspect = report.suspects[0]
         self._observer.observe(
             ReplicaCrashed(report.replica, request.id, suspect.parts)
         )
         self._remember_reported(suspect.parts)
         self._context.send_to_peers(report)
-        causes = self._record_report(report)
-        if not causes:
+        entries = self._record_report(report)
+        if not entries:
             return
-        self._context.send_to_peers(
-            QuarantineUpdate(self._quarantine.make_entries(now))
-        )
+        update = QuarantineUpdate(self._quarantine.make_messages(now))
+        self._context.send_to_peers(update)
         if self._storage is not None:
-            for cause in causes:
-                if cause.is_certain:
-                    self._storage.add(cause.parts, QUARANTINE_TIME)
+            for each in entries:
+                if each.is_certain:
+                    self._storage.add(each.parts, QUARANTINE_TIME)
 
     def _remember_reported(self, parts):
         if len(self._reported_parts) > MAX_REPORTED_PARTS:
@@ -162,23 +164,22 @@
         self._reported_parts.update(parts)
 
     def _record_report(self, report):
-        now = self._clock.monotonic()
-        causes = self._quarantine.record_crash(report, now)
-        self._announce([cause.parts for cause in causes], OWN_CRASHES)
-        return causes
-
-    def _adopt(self, entries, reason):
-        added = self._quarantine.adopt(entries, self._clock.monotonic())
-        self._announce(added, reason)
-
-    def _announce(self, sets, reason):
-        """Log new sets of parts, and recall the attempts that they concern."""
-        for parts in sets:
-            self._observer.observe(PromptsQuarantined(tuple(sorted(parts)), reason))
-        if not sets:
-            return
+        entries = self._quarantine.record_crash(report, self._clock.monotonic())
+        self._announce(entries, OWN_CRASHES)
+        return entries
+
+    def _adopt(self, messages, reason):
+        entries = self._quarantine.adopt(messages, self._clock.monotonic())
+        self._announce(entries, reason)
+
+    def _announce(self, entries, reason):
+        """Log Quarantined sets, and recall the attempts that they concern."""
+        for entry in entries:
+            parts = tuple(sorted(entry.parts))
+            event = PromptsQuarantined(parts, entry.is_certain, reason)
+            self._observer.observe(event)
         for attempt in list(self._attempts):
-            if any(each <= attempt.shared_parts for each in sets):
+            if any(entry.parts <= attempt.shared_parts for entry in entries):
                 attempt.recall()
 
     def _receive_answered(self, message):
@@ -193,13 +194,14 @@
     def _clear(self, parts, reason):
         """Clear answered parts; return whether one was suspected or in quarantine."""
         now = self._clock.monotonic()
-        before = self._quarantine.list_sets(now)
+        before = self._quarantine.list_entries(now)
         if not self._quarantine.record_answered(parts, now):
             return False
-        kept = self._quarantine.list_sets(now)
+        kept = self._quarantine.list_entries(now)
         for each in before:
             if each not in kept:
-                self._observer.observe(QuarantineLifted(tuple(sorted(each)), reason))
+                parts = tuple(sorted(each.parts))
+                self._observer.observe(QuarantineLifted(parts, reason))
         return True
 
     def _reply_with_answered(self, ip, parts):
@@ -216,10 +218,11 @@
         while True:
             await sleep(self._clock, GOSSIP_INTERVAL)
             now = self._clock.monotonic()
-            self._storage.retain(self._quarantine.list_sets(now))
-            entries = self._quarantine.make_entries(now)
+            entries = self._quarantine.list_entries(now)
+            self._storage.retain([each.parts for each in entries])
             if entries:
-                self._send_to_random_peer(QuarantineUpdate(entries))
+                messages = self._quarantine.make_messages(now)
+                self._send_to_random_peer(QuarantineUpdate(messages))
 
     def _send_to_random_peer(self, message):
         ips = self._context.peer_ips
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/evidence.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/evidence.py
@@ -5,8 +5,10 @@
 from datetime import timedelta
 from itertools import combinations
 
-# Crashes, each with another request, that make the parts they share the cause.
+# Crashes, each with another request, that make the parts they share a possible cause,
+# and the cause if no other parts explain as many.
 MIN_CRASHES = 2
+CERTAIN_CRASHES = 3
 EVIDENCE_LIFETIME = timedelta(minutes=5)
 # Limits the work after each crash, which grows with the square of it.
 MAX_SUSPICIONS = 200
@@ -21,7 +23,7 @@
     parts : frozenset of str
         Ids of the parts.
     is_certain : bool
-        Whether no other parts explain the same crashes as well.
+        Whether they explain ``CERTAIN_CRASHES`` and no other parts do so as well.
     """
 
     parts: frozenset
@@ -68,30 +70,33 @@
                 cleared = True
         return cleared
 
-    def find_causes(self, known_causes):
+    def find_causes(self, known_causes, is_broad):
         """Find the parts that explain crashes which nothing else explains.
 
         Parameters
         ----------
         known_causes : iterable of frozenset
             Sets of parts that are known to crash replicas.
+        is_broad : callable
+            Returns whether many prompts have a set of parts.
 
         Returns
         -------
         list of CrashCause
-            New causes. Each was in requests of at least ``MIN_CRASHES`` crashes that
-            no other cause explains.
+            New causes, none of them broad. Each was in requests of at least
+            ``MIN_CRASHES`` crashes that no other cause explains.
         """
-        crashes = {each: self._find_crashes(each) for each in self._list_common_parts()}
+        candidates = {each for each in self._list_common_parts() if not is_broad(each)}
         causes = list(known_causes)
-        crashes |= {each: self._find_crashes(each) for each in causes}
+        crashes = {each: self._find_crashes(each) for each in candidates.union(causes)}
         found = []
         while True:
-            best = self._choose_best(crashes, causes)
-            if not best:
+            best, count = self._choose_best(candidates, crashes, causes)
+            if count < MIN_CRASHES:
                 return found
             causes += best
-            found += [CrashCause(parts, len(best) == 1) for parts in best]
+            is_certain = len(best) == 1 and count >= CERTAIN_CRASHES
+            found += [CrashCause(parts, is_certain) for parts in best]
 
     def _list_common_parts(self):
         """Return the sets of parts that requests of different crashes share."""
@@ -106,19 +111,23 @@
         return {each.crash for each in self._suspicions if parts <= each.parts}
 
     @staticmethod
-    def _choose_best(crashes, causes):
-        """Return the sets of parts that explain most of the unexplained crashes."""
+    def _choose_best(candidates, crashes, causes):
+        """Return the candidates that explain most other crashes, and their number."""
         counts = {}
-        for parts in crashes:
+        for parts in candidates:
             if any(cause <= parts for cause in causes):
                 continue
+            larger = [cause for cause in causes if parts < cause]
+            if any(crashes[parts] <= crashes[cause] for cause in larger):
+                continue
             # A cause with further parts is a less general explanation.
-            explained = [crashes[each] for each in causes if not parts < each]
+            explained = [crashes[each] for each in causes if each not in larger]
             counts[parts] = len(crashes[parts].difference(*explained))
         most = max(counts.values(), default=0)
-        if most < MIN_CRASHES:
-            return []
-        return [parts for parts, count in counts.items() if count == most]
+        best = [parts for parts, count in counts.items() if count == most]
+        # Of sets that explain the same, the largest refuses the fewest requests.
+        best = [each for each in best if not any(each < other for other in best)]
+        return best, most
 
     def _expire(self, now):
         suspicions = self._suspicions
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/messages.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/messages.py
@@ -52,10 +52,13 @@
         Requests whose prompts have all of these parts are refused.
     seconds_left : float
         Seconds until the quarantine ends.
+    is_certain : bool
+        Whether the parts are known to crash replicas; otherwise they may do so.
     """
 
     parts: tuple[str, ...]
     seconds_left: float
+    is_certain: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/quarantine.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/quarantine.py
@@ -1,19 +1,39 @@
 """Decision which prompt parts are in quarantine, and for how long."""
 
+from dataclasses import dataclass
 from datetime import timedelta
 
 from .answered import AnsweredPartsCache
 from .evidence import CrashEvidence
 from .messages import CrashReport, CrashSuspect, QuarantineEntry
+from .shares import PromptShares
 
 # Afterwards two crashes put the parts in quarantine again.
 QUARANTINE_TIME = timedelta(minutes=10)
-# Parts that are one of several explanations are tried again sooner: one more crash, or
-# an answer, tells which of them is the cause.
+# Possible causes are sent again sooner: one more crash, or an answer, tells.
 UNCERTAIN_TIME = timedelta(seconds=30)
 MAX_ENTRIES = 200
 
 
+@dataclass(frozen=True, slots=True)
+class Quarantined:
+    """A set of prompt parts in quarantine.
+
+    Attributes
+    ----------
+    parts : frozenset of str
+        Requests whose prompts have all of these parts are refused.
+    ends_at : timedelta
+        Monotonic time at which the quarantine ends.
+    is_certain : bool
+        Whether the parts are known to crash replicas; otherwise they may do so.
+    """
+
+    parts: frozenset
+    ends_at: timedelta
+    is_certain: bool
+
+
 class PromptQuarantine:
     """Sets of prompt parts that are not sent to replicas, as they crash them.
 
@@ -25,7 +45,12 @@
     def __init__(self):
         self._answered = AnsweredPartsCache()
         self._evidence = CrashEvidence()
-        self._ends = {}
+        self._shares = PromptShares()
+        self._entries = {}
+
+    def record_prompt(self, part_ids):
+        """Record the shared parts (by id) of a prompt that this process received."""
+        self._shares.record(part_ids)
 
     def record_answered(self, part_ids, now):
         """Record that a replica has answered a request with prompt parts.
@@ -45,9 +70,9 @@
         self._answered.record(part_ids, now)
         answered = frozenset(part_ids)
         was_suspected = self._evidence.clear(answered)
-        lifted = [parts for parts in self._ends if parts & answered]
+        lifted = [parts for parts in self._entries if parts & answered]
         for parts in lifted:
-            del self._ends[parts]
+            del self._entries[parts]
         return was_suspected or bool(lifted)
 
     def select_answered(self, part_ids, now):
@@ -69,65 +94,75 @@
 
         Returns
         -------
-        list of CrashCause
-            What is in quarantine from now on.
+        list of Quarantined
+            What is in quarantine from now on, or certain from now on.
         """
         self._evidence.add(self.select_suspects(report, now), now)
-        causes = self._evidence.find_causes(self.list_sets(now))
-        for cause in causes:
+        certain = [each.parts for each in self.list_entries(now) if each.is_certain]
+        added = []
+        for cause in self._evidence.find_causes(certain, self._shares.is_broad):
             duration = QUARANTINE_TIME if cause.is_certain else UNCERTAIN_TIME
-            self._add(cause.parts, now + duration)
-        return causes
+            entry = Quarantined(cause.parts, now + duration, cause.is_certain)
+            if self._add(entry, now):
+                added.append(entry)
+        return added
 
     def adopt(self, entries, now):
         """Adopt the QuarantineEntries of another process or of an earlier start.
 
         Returns
         -------
-        list of frozenset
-            Sets of parts that are in quarantine from now on.
+        list of Quarantined
+            What is in quarantine from now on, or certain from now on.
         """
         added = []
-        for entry in entries:
-            parts = frozenset(entry.parts)
-            longest = QUARANTINE_TIME.total_seconds()
+        for each in entries:
+            longest = QUARANTINE_TIME if each.is_certain else UNCERTAIN_TIME
             # The order of the arguments makes a time that is not a number zero.
-            left = timedelta(seconds=min(longest, max(0.0, entry.seconds_left)))
-            is_known = self._find_end(parts, now) is not None
-            if is_known or not parts or left <= timedelta(0):
-                continue
-            if not self.select_answered(parts, now):
-                self._add(parts, now + left)
-                added.append(parts)
+            left = min(longest.total_seconds(), max(0.0, each.seconds_left))
+            ends_at = now + timedelta(seconds=left)
+            entry = Quarantined(frozenset(each.parts), ends_at, each.is_certain)
+            if not self.select_answered(entry.parts, now) and self._add(entry, now):
+                added.append(entry)
         return added
 
     def find_time_left(self, part_ids, now):
         """Return how long a prompt with parts (by id) is in quarantine, or None."""
-        if not self._ends:
+        if not self._entries:
             return None
-        end = self._find_end(frozenset(part_ids), now)
-        return None if end is None else end - now
+        parts = frozenset(part_ids)
+        ends = [each.ends_at for each in self.list_entries(now) if each.parts <= parts]
+        return max(ends) - now if ends else None
 
-    def list_sets(self, now):
-        """Return the sets of parts that are in quarantine."""
-        return [parts for parts, end in self._ends.items() if end > now]
+    def list_entries(self, now):
+        """Return the Quarantined sets at a monotonic time."""
+        return [each for each in self._entries.values() if each.ends_at > now]
 
-    def make_entries(self, now):
+    def make_messages(self, now):
         """Return a tuple of QuarantineEntries of all sets."""
         return tuple(
-            QuarantineEntry(tuple(sorted(parts)), (end - now).total_seconds())
-            for parts, end in self._ends.items()
-            if end > now
+            QuarantineEntry(
+                tuple(sorted(each.parts)),
+                (each.ends_at - now).total_seconds(),
+                each.is_certain,
+            )
+            for each in self.list_entries(now)
         )
 
-    def _find_end(self, parts, now):
-        ends = [end for each, end in self._ends.items() if each <= parts and end > now]
-        return max(ends, default=None)
-
-    def _add(self, parts, end):
-        # A set makes those that contain it needless.
-        for each in [each for each in self._ends if parts < each]:
-            del self._ends[each]
-        self._ends[parts] = end
-        while len(self._ends) > MAX_ENTRIES:
-            del self._ends[min(self._ends, key=self._ends.get)]
+    def _add(self, entry, now):
+        """Add a Quarantined set; return whether it says more than what is there."""
+        if not entry.parts or entry.ends_at <= now:
+            return False
+        for each in self.list_entries(now):
+            if each.parts <= entry.parts and each.is_certain >= entry.is_certain:
+                return False
+        for each in list(self._entries.values()):
+            if entry.parts <= each.parts and entry.is_certain >= each.is_certain:
+                del self._entries[each.parts]
+        self._entries[entry.parts] = entry
+        while len(self._entries) > MAX_ENTRIES:
+            del self._entries[min(self._entries, key=self._find_end)]
+        return True
+
+    def _find_end(self, parts):
+        return self._entries[parts].ends_at
--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/shares.py
@@ -0,0 +1,32 @@
+"""How many of the recent prompts have certain parts."""
+
+from collections import deque
+
+# Recent prompts that are counted.
+SAMPLE_SIZE = 200
+# A set of parts that more of the prompts have is in a crash by mere chance.
+BROAD_SHARE = 0.25
+
+
+class PromptShares:
+    """Sample of the parts of the prompts that this process received last.
+
+    It keeps a part that many prompts share, such as that of a whole team, from being
+    taken for the cause of crashes: it is in most requests that a replica runs, so also
+    in those that ran when the replica crashed.
+    """
+
+    def __init__(self):
+        self._prompts = deque(maxlen=SAMPLE_SIZE)
+
+    def record(self, part_ids):
+        """Record the shared parts (by id) of a prompt."""
+        self._prompts.append(frozenset(part_ids))
+
+    def is_broad(self, parts):
+        """Return whether too many prompts, or all too few known ones, have all parts.
+
+        Without any prompt nothing is known, so that every set counts as broad.
+        """
+        count = sum(parts <= prompt for prompt in self._prompts)
+        return count >= BROAD_SHARE * len(self._prompts)
--- a/libs/gateway/tests/test_crashing_prompts.py
+++ b/libs/gateway/tests/test_crashing_prompts.py
@@ -81,6 +81,19 @@
                 self.assertGreater(sent, 20)
                 self.assertGreater(served, 0.9 * sent)
 
+    def test_processes_that_have_just_started_go_on_serving_sound_prompts(self):
+        # No part was answered yet when the first engines crash.
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                fleet = CrashingFleet(engines=4)
+                traffic = Traffic(fleet, seed)
+                traffic.run(20, sound_rate=30, bad_rate=6)
+                fleet.pass_time(6)
+                later = fleet.find_arrivals(CRASHING_PART, 10)
+                self.assertLessEqual(len(later), MAX_LATER_ARRIVALS)
+                sent, served = traffic.count_served(10)
+                self.assertGreater(served, 0.9 * sent)
+
 
 if __name__ == "__main__":
     unittest.main()
