--- a/libs/gateway/src/balsamspoke_gateway/quarantine/shares.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/shares.py
@@ -4,7 +4,7 @@
 
 # Recent prompts that are counted.
 SAMPLE_SIZE = 200
-# A set of parts that more of the prompts have is in a crash by mere chance.
+# A set of parts that at least this fraction of the prompts have is broad.
 BROAD_SHARE = 0.25
 
 
@@ -24,9 +24,9 @@
         self._prompts.append(frozenset(part_ids))
 
     def is_broad(self, parts):
-        """Return whether too many prompts, or all too few known ones, have all parts.
+        """Return whether many prompts have all parts of a set.
 
-        Without any prompt nothing is known, so that every set counts as broad.
+        Without any prompt nothing is known, so every set counts as broad.
         """
         count = sum(parts <= prompt for prompt in self._prompts)
         return count >= BROAD_SHARE * len(self._prompts)
--- a/libs/gateway/tests/test_crashing_prompts.py
+++ b/libs/gateway/tests/test_crashing_prompts.py
@@ -26,8 +26,8 @@
     ----------
     sound : list of tuple
         Time and RecordedSink of each sound request.
-    refusals : list of RequestRefused
-        Refusals of requests with the crashing part.
+    bad : list of RecordedSink
+        Answers to the requests with the crashing part.
     """
 
     def __init__(self, fleet, seed):
