Take the share of a prompt part with care while few prompts are known

Two more prompts with the part are now assumed: of 15, two with a part are rare, three are not. The test failed before.

--- a/libs/gateway/src/balsamspoke_gateway/quarantine/shares.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/shares.py
@@ -6,6 +6,8 @@
 SAMPLE_SIZE = 200
 # A set of parts that at least this fraction of the prompts have is broad.
 BROAD_SHARE = 0.25
+# Prompts with all parts that are assumed beside those of the sample.
+PRIOR_COUNT = 2
 
 
 class PromptShares:
@@ -26,7 +28,7 @@
     def is_broad(self, parts):
         """Return whether many prompts have all parts of a set.
 
-        Without any prompt nothing is known, so every set counts as broad.
+        With few prompts the share is not known well, so more sets count as broad.
         """
-        count = sum(parts <= prompt for prompt in self._prompts)
-        return count >= BROAD_SHARE * len(self._prompts)
+        count = sum(parts <= prompt for prompt in self._prompts) + PRIOR_COUNT
+        return count >= BROAD_SHARE * (len(self._prompts) + PRIOR_COUNT)
--- a/libs/gateway/tests/test_quarantine.py
+++ b/libs/gateway/tests/test_quarantine.py
@@ -84,6 +84,16 @@
         self.assertTrue(self.is_refused("system", "bad"))
         self.assertFalse(self.is_refused("system", "good"))
 
+    def test_a_small_sample_makes_no_part_the_cause_that_a_third_of_prompts_have(self):
+        quarantine = PromptQuarantine()
+        for number in range(15):
+            system = "system" if number < 3 else f"system-{number % 2}"
+            quarantine.record_prompt([system, f"sound-{number}"])
+        for number in range(3):
+            suspect = CrashSuspect(str(number), ("system", f"other-{number}"))
+            quarantine.record_crash(CrashReport(str(number), 1, (suspect,)), NOW)
+        self.assertIsNone(quarantine.find_time_left(["system"], NOW))
+
     def test_a_process_that_has_seen_no_prompt_suspects_none(self):
         quarantine = PromptQuarantine()
         for replica in "abc":
