--- a/libs/gateway/src/balsamspoke_gateway/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/attempt.py
@@ -189,7 +189,7 @@
         self.status = answer.status
         if answer.load is not None:
             self._context.fleet.record_server_load(self._record, answer.load)
-        self._record_wishes(answer)
+        self._record_leaving_and_backoff(answer)
         if not answer.has_run:
             if answer.is_misdirected:
                 self._context.fleet.record_misdirection(self._record)
@@ -202,7 +202,7 @@
         else:
             await self._forward_whole_answer(answer)
 
-    def _record_wishes(self, answer):
+    def _record_leaving_and_backoff(self, answer):
         """Record whether the replica leaves, and for how long it wants no requests."""
         for name in answer.unreadable_headers:
             self._context.observer.observe(HeaderUnreadable(self._record.id, name))
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
@@ -187,7 +187,7 @@
             return
         reported = tuple(each for each in message.parts if each in self._reported_parts)
         if reported:
-            # The others have the suspicion from this process.
+            # The other peers suspect the parts because this process reported them.
             self._context.send_to_peers(AnsweredParts(reported))
             self._reported_parts.difference_update(reported)
 
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/crash_detection.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/crash_detection.py
@@ -7,7 +7,7 @@
 
 from ..exceptions import AnswerOverdue
 
-# A process that ends closes its connections and its port in any order.
+# A process that ends may close its connections before its port.
 CHECK_DELAY = timedelta(milliseconds=20)
 # A request that may run again waits for the check. A refusal arrives at once.
 MAX_CHECK_TIME = timedelta(milliseconds=100)
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/quarantine.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/quarantine.py
@@ -8,7 +8,7 @@
 from .messages import CrashReport, CrashSuspect, QuarantineEntry
 from .shares import PromptShares
 
-# Afterwards two crashes put the parts in quarantine again.
+# Time for which parts are refused that are known to crash replicas.
 QUARANTINE_TIME = timedelta(minutes=10)
 # Possible causes are sent again sooner: one more crash, or an answer, tells.
 UNCERTAIN_TIME = timedelta(seconds=30)
