Log and count the rate limits that replicas name

Callers saw nothing yet; the replicas that named a limit got two to four times its rate. No line told whether a process knew of a limit, so the three hypotheses could be told apart only by figures that the operators of the processes don't have. The header is read now and what it says is kept by start of the replica, logged when it changes, and counted. Nothing is decided by it yet: requests are placed as before.

--- a/libs/gateway/src/balsamspoke_gateway/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/attempt.py
@@ -17,7 +17,12 @@
     TimedOut,
 )
 from .late_events import is_late_event
-from .observing import BackoffRequested, HeaderUnreadable
+from .observing import (
+    BackoffRequested,
+    HeaderUnreadable,
+    RateLimitLifted,
+    RateLimitNamed,
+)
 from .requests import ReplicaRequest
 from .streams import EventSplitter
 
@@ -189,7 +194,7 @@
         self.status = answer.status
         if answer.load is not None:
             self._context.fleet.record_server_load(self._record, answer.load)
-        self._record_leaving_and_backoff(answer)
+        self._record_wishes(answer)
         if not answer.has_run:
             if answer.is_misdirected:
                 self._context.fleet.record_misdirection(self._record)
@@ -202,8 +207,8 @@
         else:
             await self._forward_whole_answer(answer)
 
-    def _record_leaving_and_backoff(self, answer):
-        """Record whether the replica leaves, and for how long it wants no requests."""
+    def _record_wishes(self, answer):
+        """Record what the replica says of the requests that it wants from now on."""
         for name in answer.unreadable_headers:
             self._context.observer.observe(HeaderUnreadable(self._record.id, name))
         if answer.is_misdirected:
@@ -218,6 +223,20 @@
             self._context.observer.observe(
                 BackoffRequested(self._record.id, answer.retry_after)
             )
+        self._record_rate_limit(answer)
+
+    def _record_rate_limit(self, answer):
+        limits = self._context.fleet.rate_limits
+        now = self._context.clock.monotonic()
+        reason = "it said so in an answer"
+        if answer.rate_limit is not None:
+            if limits.record_named(self._record, answer.rate_limit, now):
+                rate = limits.find_rate(self._record)
+                event = RateLimitNamed(self._record.id, rate, reason)
+                self._context.observer.observe(event)
+        elif answer.is_signed and limits.record_unnamed(self._record, self._sent_at):
+            event = RateLimitLifted(self._record.id, "it named none in an answer")
+            self._context.observer.observe(event)
 
     def _limit_to_attempt(self, waiter):
         """Limit a Deferred to the time left for the attempt."""
--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -88,6 +88,10 @@
         """Return the number of sets of prompt parts that are refused."""
         return self.context.quarantine.count_entries()
 
+    def count_rate_limited(self):
+        """Return the number of replicas that name a rate limit."""
+        return self.context.fleet.rate_limits.count()
+
     def count_silent_peers(self):
         """Return the number of peers that are silent but may still serve requests."""
         return self.context.quotas.count_silent(self.context.clock.monotonic())
--- a/libs/gateway/src/balsamspoke_gateway/fleet.py
+++ b/libs/gateway/src/balsamspoke_gateway/fleet.py
@@ -9,6 +9,7 @@
 from .loads import ReplicaLoad
 from .pacing import choose_lifetime
 from .placement import Candidate
+from .rate_limiting import ReplicaRateLimits
 from .replicas import ReplicaDirectory
 from .requests import AdapterName
 
@@ -41,6 +42,8 @@
         Circuit breakers of the replicas.
     backoffs : RequestedBackoffs
         Replicas that want no requests for a time.
+    rate_limits : ReplicaRateLimits
+        Rates that replicas have named as their limits.
     """
 
     def __init__(self, clock):
@@ -48,6 +51,7 @@
         self.directory = ReplicaDirectory()
         self.health = ReplicaHealth()
         self.backoffs = RequestedBackoffs()
+        self.rate_limits = ReplicaRateLimits()
         self._loads = {}
         self._states = {}
         self._cached_adapters = {}
@@ -187,6 +191,7 @@
         listed = {record.id for record in self.directory.list_all()}
         self.health.retain(listed)
         self.backoffs.retain(listed)
+        self.rate_limits.retain(listed)
         for replica_id in set(self._loads) - listed:
             if self._loads[replica_id].in_flight == 0:
                 del self._loads[replica_id]
--- a/libs/gateway/src/balsamspoke_gateway/observing.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing.py
@@ -199,6 +199,41 @@
     duration: timedelta
 
 
+@dataclass(frozen=True, slots=True)
+class RateLimitNamed:
+    """A replica takes no more than a rate of requests from all processes together.
+
+    Attributes
+    ----------
+    replica : str
+        Id of the replica.
+    rate : float
+        Requests a second.
+    reason : str
+        How this process learned it.
+    """
+
+    replica: str
+    rate: float
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimitLifted:
+    """A replica takes requests without a limit again.
+
+    Attributes
+    ----------
+    replica : str
+        Id of the replica.
+    reason : str
+        How this process learned it.
+    """
+
+    replica: str
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class HeaderUnreadable:
     """A header of an answer could not be read, and counts as absent.
--- a/libs/gateway/src/balsamspoke_gateway/requests.py
+++ b/libs/gateway/src/balsamspoke_gateway/requests.py
@@ -191,6 +191,9 @@
         chunks; otherwise it ends with the connection.
     load : ServerLoad or None
         The replica's load; None if not stated.
+    rate_limit : float or None
+        Requests a second that the replica takes from all processes together; None if
+        it states no limit.
     """
 
     status: int
@@ -204,6 +207,7 @@
     retry_after: timedelta | None = None
     unreadable_headers: tuple[str, ...] = ()
     is_framed: bool = True
+    rate_limit: float | None = None
 
     @property
     def is_success(self):
--- a/libs/gateway/tests/world.py
+++ b/libs/gateway/tests/world.py
@@ -117,6 +117,8 @@
         Whether the answer states that the replica leaves.
     retry_after : timedelta or None
         Time for which the replica wants no requests; None by default.
+    rate_limit : float or None
+        Requests a second that the replica takes; None by default.
     """
 
     def __init__(self, status=200, pieces=(b"body",), **others):
@@ -131,6 +133,7 @@
         self.is_framed = others.pop("is_framed", True)
         self.is_leaving = others.pop("is_leaving", False)
         self.retry_after = others.pop("retry_after", None)
+        self.rate_limit = others.pop("rate_limit", None)
 
 
 class ScriptedExchange(Exchange):
@@ -157,6 +160,7 @@
                 is_leaving=answer.is_leaving,
                 retry_after=answer.retry_after,
                 is_framed=answer.is_framed,
+                rate_limit=answer.rate_limit,
             )
         )
 
