--- a/libs/gateway/tests/crashing_fleet.py
+++ b/libs/gateway/tests/engine_fleet.py
@@ -1,4 +1,4 @@
-"""Entry processes whose engines crash when they answer a certain prompt part."""
+"""Entry processes with engines that crash, or name a rate limit, in virtual time."""
 
 import itertools
 from dataclasses import dataclass
@@ -27,19 +27,28 @@
 
 @dataclass(frozen=True)
 class Arrival:
-    """A request that reached an engine, at a time in seconds."""
+    """A request that reached an engine, at a time in seconds.
+
+    Attributes
+    ----------
+    limit_known_at : float or None
+        Time at which the entry process got the engine's first answer that names a rate
+        limit; None if it has got none.
+    """
 
     time: float
-    entry: int
+    entry: str
     replica: str
     parts: tuple[str, ...]
+    limit_known_at: float | None = None
 
 
 class EngineExchange(Exchange):
     """An exchange whose pieces an engine supplies as time passes."""
 
-    def __init__(self, engine, request):
+    def __init__(self, engine, request, limits_known_at):
         self.engine = engine
+        self._limits_known_at = limits_known_at
         self.request = request
         self.is_ended = False
         self._head = Deferred(lambda _: self.abort())
@@ -64,7 +73,16 @@
 
     def start(self):
         """Supply the head of the answer."""
-        self._head.callback(ReplicaAnswer(200, SIGNATURE_HEADERS, True, False, True))
+        rate_limit = self.engine.rate_limit
+        if rate_limit is not None:
+            self._limits_known_at.setdefault(
+                self.engine.record.id, self.engine.fleet.seconds
+            )
+        self._head.callback(
+            ReplicaAnswer(
+                200, SIGNATURE_HEADERS, True, False, True, rate_limit=rate_limit
+            )
+        )
 
     def supply(self, piece):
         """Supply a piece of the body; empty at its end."""
@@ -96,26 +114,29 @@
         Whether it accepts connections.
     running : set of EngineExchange
         Requests without a complete answer.
+    rate_limit : float or None
+        Requests a second that it names as its limit.
     """
 
     def __init__(self, fleet, record):
-        self._fleet = fleet
+        self.fleet = fleet
         self.record = record
         self.is_up = True
         self.running = set()
+        self.rate_limit = None
 
     def run(self, exchange):
         self.running.add(exchange)
-        self._fleet.call_later(START_DELAY, self._begin, exchange)
+        self.fleet.call_later(START_DELAY, self._begin, exchange)
 
     def _begin(self, exchange):
         if exchange.is_ended:
             return
         exchange.start()
         if CRASHING_PART in exchange.request.caller.prompt.shared_part_ids:
-            self._fleet.call_later(CRASH_DELAY, self._crash_by, exchange)
+            self.fleet.call_later(CRASH_DELAY, self._crash_by, exchange)
         else:
-            self._fleet.call_later(CRASH_DELAY, self._write_event, exchange, 1)
+            self.fleet.call_later(CRASH_DELAY, self._write_event, exchange, 1)
 
     def _write_event(self, exchange, number):
         if exchange.is_ended:
@@ -126,7 +147,7 @@
             exchange.supply(b"")
             return
         exchange.supply(b"id: %d\ndata: x\n\n" % number)
-        self._fleet.call_later(EVENT_INTERVAL, self._write_event, exchange, number + 1)
+        self.fleet.call_later(EVENT_INTERVAL, self._write_event, exchange, number + 1)
 
     def _crash_by(self, exchange):
         if not exchange.is_ended:
@@ -134,37 +155,44 @@
 
     def crash(self):
         """End, with all running requests, and start again after some time."""
-        self._fleet.crashes.append(self._fleet.seconds)
+        self.fleet.crashes.append(self.fleet.seconds)
         self.is_up = False
         running, self.running = list(self.running), set()
         for exchange in running:
-            exchange.break_off(self._fleet.make_loss_error())
-        self._fleet.call_later(RESTART_DELAY, self._start_again)
+            exchange.break_off(self.fleet.make_loss_error())
+        self.fleet.call_later(RESTART_DELAY, self._start_again)
 
     def _start_again(self):
         old = self.record
-        self.record = self._fleet.make_engine_record(old.ip)
+        self.record = self.fleet.make_engine_record(old.ip)
         self.is_up = True
-        self._fleet.store.write("replicas", old.id, None)
-        self._fleet.store.write("replicas", self.record.id, self.record)
+        self.fleet.store.write("replicas", old.id, None)
+        self.fleet.store.write("replicas", self.record.id, self.record)
 
 
 class EngineClient(ReplicaClient):
-    """Client of one entry process for the engines of a CrashingFleet."""
+    """Client of one entry process for the engines of a EngineFleet."""
 
     def __init__(self, fleet, entry):
         self._fleet = fleet
         self._entry = entry
+        self._limits_known_at = {}
 
     def send(self, record, request):
         engine = self._fleet.engines[record.ip]
-        exchange = EngineExchange(engine, request)
+        exchange = EngineExchange(engine, request, self._limits_known_at)
         if not engine.is_up or engine.record.id != record.id:
             exchange.break_off(NotSent("connection refused"))
             return exchange
         parts = request.caller.prompt.shared_part_ids
         self._fleet.arrivals.append(
-            Arrival(self._fleet.seconds, self._entry, record.id, parts)
+            Arrival(
+                self._fleet.seconds,
+                self._entry,
+                record.id,
+                parts,
+                self._limits_known_at.get(record.id),
+            )
         )
         engine.run(exchange)
         return exchange
@@ -174,7 +202,7 @@
 
 
 class FleetPeers(PeerSender):
-    """Sender that delivers messages to the entry processes of a CrashingFleet."""
+    """Sender that delivers messages to the entry processes of a EngineFleet."""
 
     def __init__(self, fleet, ip):
         self._fleet = fleet
@@ -188,7 +216,7 @@
         self._fleet.entries[ip].core.receive_message(self._ip, message)
 
 
-class CrashingFleet:
+class EngineFleet:
     """Entry processes and engines that share a store and virtual time.
 
     Parameters
--- a/libs/gateway/tests/test_quarantine.py
+++ b/libs/gateway/tests/test_quarantine.py
@@ -27,7 +27,7 @@
 from hypothesis import strategies as st
 from twisted.internet.defer import Deferred, succeed
 
-from .crashing_fleet import CRASHING_PART, CrashingFleet
+from .engine_fleet import CRASHING_PART, EngineFleet
 from .entry_world import EntryWorld, FakeQuarantineStore
 from .test_crashing_prompts import Traffic
 from .world import MODEL, Answer, World, make_record, seconds
@@ -365,7 +365,7 @@
         return traffic
 
     def test_crashes_that_different_processes_see_are_put_together(self):
-        fleet = CrashingFleet()
+        fleet = EngineFleet()
         Traffic(fleet, 1).run(3, bad_rate=0)
         fleet.pass_time(1)
         entries = list(fleet.entries.values())
@@ -378,7 +378,7 @@
             self.assertIsInstance(sink.refusal, PromptQuarantined)
 
     def test_processes_that_all_start_again_still_refuse_the_prompt(self):
-        fleet = CrashingFleet()
+        fleet = EngineFleet()
         traffic = self.run_until_refused(fleet)
         before = len(fleet.crashes)
         for ip in list(fleet.entries):
@@ -388,7 +388,7 @@
         self.assertEqual(len(fleet.crashes), before)
 
     def test_lost_messages_are_made_up_for(self):
-        fleet = CrashingFleet()
+        fleet = EngineFleet()
         traffic = Traffic(fleet, 2)
         traffic.run(3, bad_rate=0)
         fleet.loses_messages = True
@@ -401,7 +401,7 @@
         self.assertLessEqual(len(fleet.find_arrivals(CRASHING_PART, before)), 1)
 
     def test_a_false_suspicion_ends_at_all_processes_with_one_answer(self):
-        fleet = CrashingFleet()
+        fleet = EngineFleet()
         first, second, *_ = fleet.entries.values()
         entries = (QuarantineEntry(("part",), 600.0),)
         for entry in fleet.entries.values():
@@ -431,7 +431,7 @@
         self.assertEqual([each.type for each in bugs], [TypeError])
 
     def test_the_store_is_rid_of_what_has_ended(self):
-        fleet = CrashingFleet()
+        fleet = EngineFleet()
         self.run_until_refused(fleet)
         self.assertNotEqual(fleet.store.records["quarantine"], {})
         fleet.pass_time(QUARANTINE_TIME.total_seconds() + 2)
--- a/libs/gateway/tests/test_restored_store.py
+++ b/libs/gateway/tests/test_restored_store.py
@@ -12,7 +12,7 @@
 from balsamspoke_gateway.quarantine import QUARANTINE_TIME, QuarantineRecord
 from balsamspoke_gateway.replicas import RECOVERY_GRACE, ReplicaDirectory
 
-from .crashing_fleet import CrashingFleet
+from .engine_fleet import EngineFleet
 from .entry_world import EntryWorld
 from .test_crashing_prompts import Traffic
 from .world import make_record, seconds
@@ -178,7 +178,7 @@
 
 class QuarantineTests(unittest.TestCase):
     def test_what_crashes_replicas_is_stored_again(self):
-        fleet = CrashingFleet()
+        fleet = EngineFleet()
         copy = fleet.store.copy()
         traffic = Traffic(fleet, 1)
         traffic.run(3, bad_rate=0)
