Keep the activity of peers apart from the quotas

What processes hold together besides tokens needs to know who was heard lately, too. Moved as it is, with its tests passing unchanged; no behaviour changes.

--- a/libs/gateway/src/balsamspoke_gateway/context.py
+++ b/libs/gateway/src/balsamspoke_gateway/context.py
@@ -15,6 +15,7 @@
 from .messages import ReplicaLeaving
 from .observing import Observer, ProgramFailed, ReplicaChanged
 from .pacing import MIN_INTERVAL
+from .peer_activity import PeerActivity
 from .popularity import AdapterPopularity
 from .ports import PeerSender, ReplicaClient
 from .prompt_prefixes import PrefixTracker
@@ -48,6 +49,8 @@
         Returns a random number in [0, 1).
     demands : AdapterDemands
         Adapters that requests wait for or use, by replica.
+    peer_activity : PeerActivity
+        When the other entry processes were last heard.
     quotas : TeamQuotas
         Token limits of the teams.
     versions : AdapterVersions
@@ -86,6 +89,7 @@
     fleet: Fleet
     draw: object = field(default_factory=lambda: random.Random().random)
     demands: AdapterDemands = field(default_factory=AdapterDemands)
+    peer_activity: PeerActivity = field(default_factory=PeerActivity)
     quotas: TeamQuotas = field(init=False)
     catching_up: CatchingUp = field(default_factory=CatchingUp)
     versions: AdapterVersions = field(default_factory=AdapterVersions)
@@ -102,7 +106,7 @@
     retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
 
     def __post_init__(self):
-        self.quotas = TeamQuotas(self.settings.quota_tolerance)
+        self.quotas = TeamQuotas(self.settings.quota_tolerance, self.peer_activity)
         self.admission_client = AdmissionClient(self.clock, self.peers, self.draw)
         self.catching_up.start(self.clock.monotonic())
         self.quarantine = QuarantineCoordinator(self)
--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -94,7 +94,8 @@
 
     def count_silent_peers(self):
         """Return the number of peers that are silent but may still serve requests."""
-        return self.context.quotas.count_silent(self.context.clock.monotonic())
+        context = self.context
+        return context.peer_activity.count_silent(context.clock.monotonic())
 
     def list_shares(self):
         """Return the TeamShare of each team that has a limit."""
--- a/libs/gateway/src/balsamspoke_gateway/quotas.py
+++ b/libs/gateway/src/balsamspoke_gateway/quotas.py
@@ -5,11 +5,9 @@
 
 from .exceptions import OverLimit
 from .messages import EntryUsage
-from .pacing import MIN_LIFETIME, choose_interval
+from .pacing import choose_interval
+from .peer_activity import PeerActivity
 
-# A peer that sent no message for this long is assumed to have ended. VMs are
-# partitioned for shorter times, so a peer that still serves requests keeps its share.
-PEER_EXPIRY = timedelta(minutes=10)
 # Fraction of the burst that processes that start together may spend: they have no
 # record of what was admitted just before.
 INITIAL_FILL_RATIO = 0.5
@@ -116,16 +114,17 @@
     ----------
     tolerance : QuotaTolerance
         Excess that partitioned groups of processes may use.
+    activity : PeerActivity or None
+        When the peers were last heard; None to track it here alone.
     """
 
-    def __init__(self, tolerance=QuotaTolerance()):
+    def __init__(self, tolerance=QuotaTolerance(), activity=None):
         self._tolerance = tolerance
+        self._activity = activity or PeerActivity()
         self._buckets = {}
         self._admitted = {}
         self._reported = {}
         self._peers = {}
-        self._last_received = {}
-        self._peer_timeout = MIN_LIFETIME
 
     @property
     def admitted(self):
@@ -210,7 +209,7 @@
         now : timedelta
             Monotonic time.
         """
-        self._last_received[peer] = now
+        self._activity.record_message(peer, now)
         previous = self._peers.get(peer)
         self._peers[peer] = usage
         if previous is None:
@@ -237,7 +236,7 @@
             bucket.refill(now)
             unreported = self._admitted.get(name, 0.0) - self._reported.get(name, 0.0)
             gap = level - unreported - bucket.level
-            bucket.level += AVERAGING_RATIO / len(self._last_received) * gap
+            bucket.level += AVERAGING_RATIO / self._activity.count * gap
 
     def set_peers(self, peers, timeout, now):
         """Set the registered peers.
@@ -252,34 +251,13 @@
         now : timedelta
             Monotonic time.
         """
-        self._peer_timeout = timeout
-        for peer in peers:
-            self._last_received.setdefault(peer, now)
-        for peer in set(self._last_received) - set(peers):
-            del self._last_received[peer]
+        for peer in self._activity.set_peers(peers, timeout, now):
             self._peers.pop(peer, None)
 
-    def list_expired_peers(self, now):
-        """Return the IP addresses of the peers that are assumed to have ended."""
-        return [
-            peer
-            for peer, received_at in self._last_received.items()
-            if now - received_at > PEER_EXPIRY
-        ]
-
-    def count_silent(self, now):
-        """Return the number of peers that are silent but may still serve requests."""
-        silences = [now - received_at for received_at in self._last_received.values()]
-        return sum(self._peer_timeout < each < PEER_EXPIRY for each in silences)
-
-    def _compute_share(self, now):
-        """Return this group's share of the limits, from 0 to 1."""
-        return 1 - self.count_silent(now) / (len(self._last_received) + 1)
-
     def _refill(self, team, now):
         """Return the team's bucket, refilled at this group's share of the limit."""
-        share = self._compute_share(now)
-        interval = choose_interval(len(self._last_received))
+        share = self._activity.compute_share(now)
+        interval = choose_interval(self._activity.count)
         tolerated = self._tolerance.compute_usable_rate(team, interval)
         rate = min(team.rate, share * (team.rate + tolerated))
         burst = share * team.burst
@@ -287,7 +265,7 @@
         if bucket is None:
             # Until it hears of its peers, a process spends its own part alone: they may
             # all have just started.
-            level = team.burst * INITIAL_FILL_RATIO / (len(self._last_received) + 1)
+            level = team.burst * INITIAL_FILL_RATIO / (self._activity.count + 1)
             bucket = _Bucket(level, rate, burst, now)
             self._buckets[team.name] = bucket
         bucket.rate, bucket.burst = rate, burst
--- a/libs/gateway/src/balsamspoke_gateway/store_view.py
+++ b/libs/gateway/src/balsamspoke_gateway/store_view.py
@@ -148,7 +148,8 @@
                 if not self.peers.is_registered:
                     await self._registry.register()
                     self.peers.record_registration()
-                for ip in context.quotas.list_expired_peers(context.clock.monotonic()):
+                now = context.clock.monotonic()
+                for ip in context.peer_activity.list_expired(now):
                     if ip in self.peers:
                         await self._registry.remove(self.peers.find_name(ip))
             except StoreUnavailable as error:
