Log which requests are the same, and every request that a crash broke off

Callers give each attempt another id, and a crash whose requests had no suspected prompt part left no line, so the logs could not tell a request that comes again from a new one, nor say that a plain service had crashed. Attempts and crashes have the fingerprint of the request now. A retry waits for the check of a crash only where it did before.

Requests of the tests' worlds have bodies of their own, as those of callers do.

--- a/libs/gateway/src/balsamspoke_gateway/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/attempt.py
@@ -176,13 +176,9 @@
 
     async def _investigate(self, error):
         """Find out whether the request has crashed its replica."""
-        request = self._forwarding.request
         self._context.quarantine.remove_attempt(self)
-        if isinstance(error, ConnectionLost) and request.prompt is not None:
-            if not self.is_harmless:
-                await self._context.quarantine.investigate(
-                    self._record, request, self._forwarding.progress.identity
-                )
+        if isinstance(error, ConnectionLost) and not self.is_harmless:
+            await self._context.quarantine.investigate(self._record, self._forwarding)
 
     async def _exchange_with_replica(self):
         answer = await self._limit_to_attempt(self._exchange.read_answer())
--- a/libs/gateway/src/balsamspoke_gateway/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -1,5 +1,7 @@
 """Forwarding of one request, from its arrival to its final answer."""
 
+from functools import cached_property
+
 from twisted.internet.defer import CancelledError
 from twisted.python.failure import Failure
 
@@ -20,6 +22,7 @@
 )
 from .observing import ANSWERED, AttemptEnded, RequestEnded
 from .progress import Progress
+from .quarantine import make_fingerprint
 from .selection import BUSY_RETRY_AFTER, ReplicaSelection
 
 # Failed attempts after which a request is given up, even if the retry budget allows
@@ -226,6 +229,7 @@
                 attempt.state_age,
                 attempt.version,
                 self.list_shared_parts(),
+                self.fingerprint,
             )
             self.context.observer.observe(ended)
 
@@ -234,6 +238,13 @@
         prompt = self.request.prompt
         return () if prompt is None else prompt.shared_part_ids
 
+    @cached_property
+    def fingerprint(self):
+        """Text by which the request is recognised if it is sent again."""
+        return make_fingerprint(
+            self.request, "" if self.team is None else self.team.name
+        )
+
     def find_held_version(self, record):
         """Return the adapter version that a replica holds for this request, or None."""
         target = self.request.prompt.target
--- a/libs/gateway/src/balsamspoke_gateway/observing.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing.py
@@ -43,6 +43,8 @@
         Adapter version that the replica was asked to use; None if none was required.
     prompt_parts : tuple of str
         Ids of the parts of the prompt that other requests may share.
+    fingerprint : str
+        The same for requests of one team with the same content.
     """
 
     request: str
@@ -57,6 +59,7 @@
     state_age: timedelta | None
     version: int | None
     prompt_parts: tuple[str, ...] = ()
+    fingerprint: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -336,7 +339,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicaCrashed:
-    """A replica ended while it ran a request whose prompt may be the cause.
+    """A replica ended while it ran a request, which may be the cause.
 
     Attributes
     ----------
@@ -344,12 +347,15 @@
         Id of the replica.
     request : str
         Id of the request.
+    fingerprint : str
+        The same for requests of one team with the same content.
     suspected_parts : tuple of str
         Ids of the request's shared prompt parts that were not answered lately.
     """
 
     replica: str
     request: str
+    fingerprint: str
     suspected_parts: tuple[str, ...]
 
 
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/__init__.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/__init__.py
@@ -4,6 +4,7 @@
 from .coordinator import QuarantineCoordinator
 from .crash_detection import CrashDetector
 from .evidence import CrashEvidence
+from .fingerprints import make_fingerprint
 from .messages import (
     AnsweredParts,
     CrashReport,
@@ -29,4 +30,5 @@
     "QuarantineStorage",
     "QuarantineStore",
     "QuarantineUpdate",
+    "make_fingerprint",
 ]
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
@@ -97,27 +97,41 @@
         if self._clear(parts, ANSWERED_HERE):
             self._context.send_to_peers(AnsweredParts(parts))
 
-    async def investigate(self, record, request, identity):
+    async def investigate(self, record, forwarding):
         """Find out whether a request crashed the replica that broke off its answer.
 
         Parameters
         ----------
         record : ReplicaRecord
             The replica.
-        request : CallerRequest
-            The request, which has a prompt.
-        identity : str
-            Identifies the request over all processes.
+        forwarding : Forwarding
+            The request.
         """
-        suspect = CrashSuspect(identity, request.prompt.shared_part_ids)
+        suspect = CrashSuspect(
+            forwarding.progress.identity, forwarding.list_shared_parts()
+        )
         report = CrashReport(record.id, record.born, (suspect,))
         report = self._quarantine.select_suspects(report, self._clock.monotonic())
-        if not report.suspects:
-            return
+        checking = Deferred.fromCoroutine(self._check(record, forwarding, report))
+        if report.suspects:
+            await checking
+        else:
+            # A retry of a request that nothing speaks against need not wait.
+            checking.addErrback(self._context.report_bug)
+
+    async def _check(self, record, forwarding, report):
+        """Report a crash if a replica has crashed, and did not leave."""
         has_crashed = await self._detector.check(record)
-        # A replica that leaves ends by itself.
-        if has_crashed and self._context.fleet.is_staying(record):
-            self._report_crash(report, request)
+        if not has_crashed or not self._context.fleet.is_staying(record):
+            return
+        parts = report.suspects[0].parts if report.suspects else ()
+        self._observer.observe(
+            ReplicaCrashed(
+                record.id, forwarding.request.id, forwarding.fingerprint, parts
+            )
+        )
+        if report.suspects:
+            self._report_crash(report)
 
     def receive(self, ip, message):
         """Process a message of a peer; return whether it concerns the quarantine."""
@@ -140,13 +154,9 @@
         if self._storage is not None:
             self._storage.rewrite()
 
-    def _report_crash(self, report, request):
+    def _report_crash(self, report):
         now = self._clock.monotonic()
-        suspect = report.suspects[0]
-        self._observer.observe(
-            ReplicaCrashed(report.replica, request.id, suspect.parts)
-        )
-        self._remember_reported(suspect.parts)
+        self._remember_reported(report.suspects[0].parts)
         self._context.send_to_peers(report)
         entries = self._record_report(report)
         if not entries:
--- a/libs/gateway/tests/world.py
+++ b/libs/gateway/tests/world.py
@@ -1,5 +1,6 @@
 """An entry process with scripted replicas, in virtual time."""
 
+import itertools
 from datetime import timedelta
 
 from balsamspoke_fakes import VirtualClock, VirtualTime
@@ -345,6 +346,7 @@
         )
         self.context.configuration = CONFIGURATION
         self.context.startup.open()
+        self._bodies = itertools.count()
 
     def add(self, *records):
         """Add ReplicaRecords to the directory."""
@@ -374,7 +376,7 @@
         key=None,
         caller_timeout=5,
         tokens=100,
-        body=b"",
+        body=None,
         parts=(),
         has_prompt=True,
         **others,
@@ -393,8 +395,8 @@
             Seconds that the caller waits for the answer.
         tokens : int
             Length of the prompt in tokens.
-        body : bytes
-            Body of the request.
+        body : bytes or None
+            Body of the request; None for one that no other request has.
         parts : sequence of str
             Ids of the parts of the prompt, in order.
         has_prompt : bool
@@ -402,6 +404,8 @@
         **others
             Further fields of the CallerRequest.
         """
+        if body is None:
+            body = f"{self.context.settings.ip} {next(self._bodies)}".encode()
         prompt = None
         if has_prompt and (route == "resumable" or route.endswith("stream")):
             prompt_parts = tuple(PromptPart(part, 10) for part in parts)
--- a/libs/transport/src/balsamspoke_transport/logs.py
+++ b/libs/transport/src/balsamspoke_transport/logs.py
@@ -11,6 +11,7 @@
     HeaderUnreadable,
     Observer,
     ProgramFailed,
+    ReplicaCrashed,
     RequestEnded,
     RequestsEnded,
 )
@@ -144,7 +145,7 @@
                 return
         if isinstance(event, HeaderUnreadable) and not self._is_due(event):
             return
-        is_request = isinstance(event, (AttemptEnded, RequestEnded))
+        is_request = isinstance(event, (AttemptEnded, RequestEnded, ReplicaCrashed))
         if not is_request or self._take_line():
             self._write(event)
         elif (
