--- a/libs/gateway/tests/engine_fleet.py
+++ b/libs/gateway/tests/engine_fleet.py
@@ -14,6 +14,7 @@
 from .world import MODEL, SIGNATURE_HEADERS, make_record, seconds
 
 CRASHING_PART = "bad"
+CRASHING_BODY = b"bad"
 EVENT_COUNT = 5
 # Seconds from the arrival of a request to the head of its answer, from there to its
 # first event or to the crash, and between events.
@@ -40,9 +41,16 @@
     entry: str
     replica: str
     parts: tuple[str, ...]
+    body: bytes
     limit_known_at: float | None = None
 
 
+def list_parts(caller_request):
+    """Return the ids of the prompt parts that a CallerRequest may share."""
+    prompt = caller_request.prompt
+    return () if prompt is None else prompt.shared_part_ids
+
+
 class EngineExchange(Exchange):
     """An exchange whose pieces an engine supplies as time passes."""
 
@@ -132,8 +140,13 @@
     def _begin(self, exchange):
         if exchange.is_ended:
             return
+        caller = exchange.request.caller
+        if caller.prompt is None and caller.body == CRASHING_BODY:
+            # A plain service ends before the head of its answer.
+            self.crash()
+            return
         exchange.start()
-        if CRASHING_PART in exchange.request.caller.prompt.shared_part_ids:
+        if CRASHING_PART in list_parts(caller) or caller.body == CRASHING_BODY:
             self.fleet.call_later(CRASH_DELAY, self._crash_by, exchange)
         else:
             self.fleet.call_later(CRASH_DELAY, self._write_event, exchange, 1)
@@ -184,13 +197,13 @@
         if not engine.is_up or engine.record.id != record.id:
             exchange.break_off(NotSent("connection refused"))
             return exchange
-        parts = request.caller.prompt.shared_part_ids
         self._fleet.arrivals.append(
             Arrival(
                 self._fleet.seconds,
                 self._entry,
                 record.id,
-                parts,
+                list_parts(request.caller),
+                request.caller.body,
                 self._limits_known_at.get(record.id),
             )
         )
@@ -223,6 +236,8 @@
     ----------
     entries, engines : int
         Numbers of entry processes and of engines.
+    service : str
+        Service of the engines: ``engines``, or ``plain`` for one without prompts.
 
     Attributes
     ----------
@@ -238,7 +253,8 @@
         Whether messages between entry processes are lost.
     """
 
-    def __init__(self, entries=4, engines=6):
+    def __init__(self, entries=4, engines=6, service="engines"):
+        self._service = service
         self.time = VirtualTime()
         self.store = FakeStore()
         self.arrivals = []
@@ -267,7 +283,7 @@
         """Return the entry of an engine that has just started."""
         number = next(self._numbers)
         return make_record(
-            f"engine-{number}", "engines", int(ip.rpartition(".")[2]), born=number
+            f"engine-{number}", self._service, int(ip.rpartition(".")[2]), born=number
         )
 
     def make_loss_error(self):
@@ -289,7 +305,7 @@
     def _tell_states(self, world):
         """Report the engines' state to an entry process, as their side processes do."""
         for engine in self.engines.values():
-            if engine.is_up:
+            if engine.is_up and self._service == "engines":
                 state = ReplicaState(engine.record.born, {MODEL: {}})
                 world.core.receive_message(engine.record.ip, state)
         world.clock.call_later(seconds(0.2), self._tell_states, world)
@@ -303,3 +319,9 @@
         return [
             each for each in self.arrivals if part in each.parts and each.time > since
         ]
+
+    def find_repeats(self, body, since=0.0):
+        """Return the Arrivals with a body after a time in seconds."""
+        return [
+            each for each in self.arrivals if each.body == body and each.time > since
+        ]
