Refuse a request that crashes each replica which runs it, by its content

Cause: crashes were compared by prompt parts alone. The parts of the repeated request were those of sound ones, answered all the time, so nothing was left to suspect, and a request without a prompt was never looked at.

Mend: the quarantine knows a request by its fingerprint (method, host, target, team, body) as by one more part. Messages, store and recall are those that were there. Repeats no longer count as different requests when prompt parts are compared. As every broken request is a suspect now, those of one crash go to a peer in one message. A retry waits for the check of a crash only if something speaks against its request.

--- a/libs/gateway/src/balsamspoke_gateway/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/attempt.py
@@ -80,9 +80,9 @@
         return self._backlog
 
     @property
-    def shared_parts(self):
-        """Ids (frozenset of str) of the prompt parts that other requests may share."""
-        return frozenset(self._forwarding.list_shared_parts())
+    def parts(self):
+        """Parts (frozenset of str) by which the quarantine knows the request."""
+        return frozenset(self._forwarding.parts)
 
     @property
     def is_harmless(self):
@@ -140,7 +140,7 @@
             self._backlog = self._load.unread_tokens + self._load.others_unread_tokens
             self._context.demands.record_start(self._record.id, request.prompt.target)
             self.version = forwarding.find_held_version(self._record)
-            self._context.quarantine.add_attempt(self)
+        self._context.quarantine.add_attempt(self)
         self._sent_at = self._context.clock.monotonic()
         self._context.fleet.health.record_try(self._record.id, self._sent_at)
         team = forwarding.team
@@ -316,11 +316,10 @@
             self._context.demands.record_late_event(self._record.id, limit)
 
     def _record_answered(self):
-        """Record once that the replica has answered the prompt without a crash."""
-        prompt = self._forwarding.request.prompt
-        if prompt is not None and not self._is_answer_recorded:
+        """Record once that the replica has answered the request without a crash."""
+        if not self._is_answer_recorded:
             self._is_answer_recorded = True
-            self._context.quarantine.record_answered(prompt)
+            self._context.quarantine.record_answered(self._forwarding.parts)
 
     def _record_first_event(self):
         self._first_event_at = self._context.clock.monotonic()
--- a/libs/gateway/src/balsamspoke_gateway/exceptions.py
+++ b/libs/gateway/src/balsamspoke_gateway/exceptions.py
@@ -59,10 +59,10 @@
 
 
 class PromptQuarantined(RequestRefused):
-    """The prompt has parts that crash the replicas which answer them."""
+    """The request, or a part of its prompt, crashes the replicas which answer it."""
 
     def __init__(self, time_left):
-        super().__init__("the prompt is in quarantine: it crashed replicas", time_left)
+        super().__init__("the request is in quarantine: it crashed replicas", time_left)
 
 
 class TimedOut(GatewayError):
--- a/libs/gateway/src/balsamspoke_gateway/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -174,7 +174,7 @@
     def _check_quarantine(self):
         """Raise PromptQuarantined, or OutcomeUnknown if the request may have run."""
         try:
-            self.context.quarantine.check(self.request.prompt)
+            self.context.quarantine.check(self.parts)
         except PromptQuarantined as error:
             if self.progress.possible_runs:
                 raise OutcomeUnknown(str(error)) from error
@@ -245,6 +245,11 @@
             self.request, "" if self.team is None else self.team.name
         )
 
+    @property
+    def parts(self):
+        """Parts (tuple of str) by which the quarantine knows the request."""
+        return (*self.list_shared_parts(), self.fingerprint)
+
     def find_held_version(self, record):
         """Return the adapter version that a replica holds for this request, or None."""
         target = self.request.prompt.target
--- a/libs/gateway/src/balsamspoke_gateway/progress.py
+++ b/libs/gateway/src/balsamspoke_gateway/progress.py
@@ -1,9 +1,7 @@
 """Progress of one request over its attempts."""
 
-import uuid
 from dataclasses import dataclass, field
 from datetime import timedelta
-from functools import cached_property
 
 
 @dataclass
@@ -36,11 +34,6 @@
     awaited_replica: str | None = None
     adapter_timeouts: int = 0
 
-    @cached_property
-    def identity(self):
-        """Text that identifies the request over all processes."""
-        return uuid.uuid4().hex
-
     def record_adapter_timeout(self, replica_id):
         """Record that a replica had not loaded the adapter in time."""
         self.adapter_timeouts = (
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/__init__.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/__init__.py
@@ -3,7 +3,7 @@
 from .answered import AnsweredPartsCache
 from .coordinator import QuarantineCoordinator
 from .crash_detection import CrashDetector
-from .evidence import CrashEvidence
+from .evidence import QUARANTINE_TIME, UNCERTAIN_TIME, CrashEvidence
 from .fingerprints import make_fingerprint
 from .messages import (
     AnsweredParts,
@@ -12,11 +12,12 @@
     QuarantineEntry,
     QuarantineUpdate,
 )
-from .quarantine import QUARANTINE_TIME, PromptQuarantine
+from .quarantine import PromptQuarantine
 from .storage import QuarantineRecord, QuarantineStorage, QuarantineStore
 
 __all__ = [
     "QUARANTINE_TIME",
+    "UNCERTAIN_TIME",
     "AnsweredParts",
     "AnsweredPartsCache",
     "CrashDetector",
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/answered.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/answered.py
@@ -7,7 +7,7 @@
 # long a part is believed that only now crashes replicas, such as after a release.
 TRUST_TIME = timedelta(minutes=1)
 # The least recently answered part is evicted first.
-MAX_PARTS = 8_000
+MAX_PARTS = 12_000
 
 
 class AnsweredPartsCache:
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
@@ -1,4 +1,4 @@
-"""Quarantine of prompts in one entry process, shared with its peers."""
+"""Quarantine of requests in one entry process, shared with its peers."""
 
 from datetime import timedelta
 
@@ -9,7 +9,8 @@
 from ..observing import PromptsQuarantined, QuarantineLifted, ReplicaCrashed
 from .crash_detection import CrashDetector
 from .messages import AnsweredParts, CrashReport, CrashSuspect, QuarantineUpdate
-from .quarantine import QUARANTINE_TIME, PromptQuarantine
+from .quarantine import PromptQuarantine
+from .reports import CrashReportBatch
 from .storage import QuarantineStorage
 
 # Interval at which the quarantine is sent to a peer chosen at random: to those that
@@ -26,7 +27,7 @@
 
 
 class QuarantineCoordinator:
-    """Refuse prompts that crash replicas, and agree with the peers on them.
+    """Refuse requests that crash replicas, and agree with the peers on them.
 
     Each crash is reported to all peers with the requests that may have caused it. All
     processes decide by the same rule; the one whose report completes the case also
@@ -49,6 +50,7 @@
         self._storage = None
         self._attempts = set()
         self._reported_parts = set()
+        self._reports = CrashReportBatch(self._clock, context.send_to_peers)
 
     def start(self, store, on_store_error):
         """Start to share the quarantine, and to keep it in the store.
@@ -70,12 +72,10 @@
         """Return the number of sets of prompt parts in quarantine."""
         return len(self._quarantine.list_entries(self._clock.monotonic()))
 
-    def check(self, prompt):
-        """Raise PromptQuarantined if a Prompt, or None, must not be sent."""
-        if prompt is None:
-            return
+    def check(self, parts):
+        """Raise PromptQuarantined if a request with parts must not be sent."""
         now = self._clock.monotonic()
-        time_left = self._quarantine.find_time_left(prompt.shared_part_ids, now)
+        time_left = self._quarantine.find_time_left(parts, now)
         if time_left is not None:
             raise PromptQuarantined(time_left)
 
@@ -91,9 +91,8 @@
         """Forget an Attempt that has ended."""
         self._attempts.discard(attempt)
 
-    def record_answered(self, prompt):
-        """Record that a replica has answered a Prompt without a crash."""
-        parts = prompt.shared_part_ids
+    def record_answered(self, parts):
+        """Record that a replica has answered a request with parts without a crash."""
         if self._clear(parts, ANSWERED_HERE):
             self._context.send_to_peers(AnsweredParts(parts))
 
@@ -107,13 +106,13 @@
         forwarding : Forwarding
             The request.
         """
-        suspect = CrashSuspect(
-            forwarding.progress.identity, forwarding.list_shared_parts()
-        )
+        fingerprint = forwarding.fingerprint
+        suspect = CrashSuspect(fingerprint, forwarding.list_shared_parts())
         report = CrashReport(record.id, record.born, (suspect,))
         report = self._quarantine.select_suspects(report, self._clock.monotonic())
+        parts = report.suspects[0].parts if report.suspects else ()
         checking = Deferred.fromCoroutine(self._check(record, forwarding, report))
-        if report.suspects:
+        if parts or self._quarantine.is_repeated(fingerprint):
             await checking
         else:
             # A retry of a request that nothing speaks against need not wait.
@@ -138,6 +137,7 @@
         if isinstance(message, CrashReport):
             self._record_report(message)
             parts = {part for each in message.suspects for part in each.parts}
+            parts |= {each.request for each in message.suspects}
             self._reply_with_answered(ip, parts)
         elif isinstance(message, QuarantineUpdate):
             self._adopt(message.entries, FROM_PEER)
@@ -156,8 +156,9 @@
 
     def _report_crash(self, report):
         now = self._clock.monotonic()
-        self._remember_reported(report.suspects[0].parts)
-        self._context.send_to_peers(report)
+        for suspect in report.suspects:
+            self._remember_reported((suspect.request, *suspect.parts))
+        self._reports.add(report)
         entries = self._record_report(report)
         if not entries:
             return
@@ -166,7 +167,7 @@
         if self._storage is not None:
             for each in entries:
                 if each.is_certain:
-                    self._storage.add(each.parts, QUARANTINE_TIME)
+                    self._storage.add(each.parts, each.ends_at - now)
 
     def _remember_reported(self, parts):
         if len(self._reported_parts) > MAX_REPORTED_PARTS:
@@ -189,7 +190,7 @@
             event = PromptsQuarantined(parts, entry.is_certain, reason)
             self._observer.observe(event)
         for attempt in list(self._attempts):
-            if any(entry.parts <= attempt.shared_parts for entry in entries):
+            if any(entry.parts <= attempt.parts for entry in entries):
                 attempt.recall()
 
     def _receive_answered(self, message):
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/evidence.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/evidence.py
@@ -10,6 +10,10 @@
 MIN_CRASHES = 2
 CERTAIN_CRASHES = 3
 EVIDENCE_LIFETIME = timedelta(minutes=5)
+# Time for which parts are refused that are known to crash replicas.
+QUARANTINE_TIME = timedelta(minutes=10)
+# Possible causes are sent again sooner: one more crash, or an answer, tells.
+UNCERTAIN_TIME = timedelta(seconds=30)
 # Limits the work after each crash, which grows with the square of it.
 MAX_SUSPICIONS = 200
 
@@ -24,10 +28,18 @@
         Ids of the parts.
     is_certain : bool
         Whether they explain ``CERTAIN_CRASHES`` and no other parts do so as well.
+    certain_time : timedelta
+        Time for which they are refused if they are certain.
     """
 
     parts: frozenset
     is_certain: bool
+    certain_time: timedelta = QUARANTINE_TIME
+
+    @property
+    def duration(self):
+        """Time (timedelta) for which the parts are refused."""
+        return self.certain_time if self.is_certain else UNCERTAIN_TIME
 
 
 @dataclass(slots=True)
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/fingerprints.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/fingerprints.py
@@ -2,6 +2,8 @@
 
 import xxhash
 
+_PREFIX = "request:"
+
 
 def make_fingerprint(request, team):
     """Return the text by which all processes recognise a repeated request.
@@ -32,4 +34,9 @@
         # The length keeps the end of one field from passing for the start of the next.
         digest.update(b"%d:" % len(field))
         digest.update(field)
-    return f"request:{digest.hexdigest()}"
+    return _PREFIX + digest.hexdigest()
+
+
+def is_fingerprint(part):
+    """Return whether a part of a request is its fingerprint."""
+    return part.startswith(_PREFIX)
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/messages.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/messages.py
@@ -13,8 +13,8 @@
     Attributes
     ----------
     request : str
-        Identifies the request over all processes. It isn't the id that the caller
-        gave, which several requests may share.
+        Fingerprint of the request. It isn't the id that the caller gave, which differs
+        when the same request is sent again.
     parts : tuple of str
         Ids of its shared prompt parts that no replica is known to have answered.
     """
@@ -44,12 +44,12 @@
 
 @dataclass(frozen=True, slots=True)
 class QuarantineEntry:
-    """Prompt parts that are in quarantine together.
+    """Parts that are in quarantine together.
 
     Attributes
     ----------
     parts : tuple of str
-        Requests whose prompts have all of these parts are refused.
+        Requests that have all of these parts are refused.
     seconds_left : float
         Seconds until the quarantine ends.
     is_certain : bool
@@ -76,7 +76,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AnsweredParts:
-    """Prompt parts that replicas have answered lately without a crash.
+    """Parts of requests that replicas have answered lately without a crash.
 
     Attributes
     ----------
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/quarantine.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/quarantine.py
@@ -1,23 +1,25 @@
-"""Decision which prompt parts are in quarantine, and for how long."""
+"""Decision which requests are in quarantine, and for how long.
+
+The parts of a request, here and in the other modules of the quarantine, are the prompt
+parts that other requests may share, and the fingerprint of the whole request.
+"""
 
 from dataclasses import dataclass
 from datetime import timedelta
 
 from .answered import AnsweredPartsCache
-from .evidence import CrashEvidence
+from .evidence import QUARANTINE_TIME, UNCERTAIN_TIME, CrashEvidence
+from .fingerprints import is_fingerprint
 from .messages import CrashReport, CrashSuspect, QuarantineEntry
+from .repeats import MAX_REPEAT_QUARANTINE_TIME, RepeatEvidence
 from .shares import PromptShares
 
-# Time for which parts are refused that are known to crash replicas.
-QUARANTINE_TIME = timedelta(minutes=10)
-# Possible causes are sent again sooner: one more crash, or an answer, tells.
-UNCERTAIN_TIME = timedelta(seconds=30)
 MAX_ENTRIES = 200
 
 
 @dataclass(frozen=True, slots=True)
 class Quarantined:
-    """A set of prompt parts in quarantine.
+    """A set of parts in quarantine.
 
     Attributes
     ----------
@@ -35,16 +37,17 @@
 
 
 class PromptQuarantine:
-    """Sets of prompt parts that are not sent to replicas, as they crash them.
+    """Sets of parts that are not sent to replicas, as they crash them.
 
     It handles requests that crash each replica they are sent to, and would take down a
-    whole service one replica after the other. A request is refused if its prompt has
-    all parts of a set. An answer to a request with a part ends its quarantine.
+    whole service one replica after the other. A request is refused if it has all parts
+    of a set. An answer to a request with a part ends its quarantine.
     """
 
     def __init__(self):
         self._answered = AnsweredPartsCache()
         self._evidence = CrashEvidence()
+        self._repeats = RepeatEvidence()
         self._shares = PromptShares()
         self._entries = {}
 
@@ -53,7 +56,7 @@
         self._shares.record(part_ids)
 
     def record_answered(self, part_ids, now):
-        """Record that a replica has answered a request with prompt parts.
+        """Record that a replica has answered a request with parts.
 
         Parameters
         ----------
@@ -70,6 +73,7 @@
         self._answered.record(part_ids, now)
         answered = frozenset(part_ids)
         was_suspected = self._evidence.clear(answered)
+        was_suspected |= self._repeats.clear(answered)
         lifted = [parts for parts in self._entries if parts & answered]
         for parts in lifted:
             del self._entries[parts]
@@ -80,15 +84,19 @@
         return tuple(each for each in part_ids if self._answered.is_trusted(each, now))
 
     def select_suspects(self, report, now):
-        """Return a CrashReport without the parts that were answered lately."""
+        """Return a CrashReport without what was answered lately."""
         suspects = []
         for suspect in report.suspects:
             answered = self.select_answered(suspect.parts, now)
             parts = tuple(each for each in suspect.parts if each not in answered)
-            if parts:
+            if parts or not self._answered.is_trusted(suspect.request, now):
                 suspects.append(CrashSuspect(suspect.request, parts))
         return CrashReport(report.replica, report.born, tuple(suspects))
 
+    def is_repeated(self, fingerprint):
+        """Return whether a request ran at a crash before."""
+        return self._repeats.is_suspected(fingerprint)
+
     def record_crash(self, report, now):
         """Record the suspects of a CrashReport.
 
@@ -97,15 +105,26 @@
         list of Quarantined
             What is in quarantine from now on, or certain from now on.
         """
-        self._evidence.add(self.select_suspects(report, now), now)
-        certain = [each.parts for each in self.list_entries(now) if each.is_certain]
-        added = []
-        for cause in self._evidence.find_causes(certain, self._shares.is_broad):
-            duration = QUARANTINE_TIME if cause.is_certain else UNCERTAIN_TIME
-            entry = Quarantined(cause.parts, now + duration, cause.is_certain)
-            if self._add(entry, now):
-                added.append(entry)
-        return added
+        report = self.select_suspects(report, now)
+        causes = self._find_repeats(report, now)
+        if any(each.parts for each in report.suspects):
+            self._evidence.add(report, now)
+            certain = [each.parts for each in self.list_entries(now) if each.is_certain]
+            causes += self._evidence.find_causes(certain, self._shares.is_broad)
+        entries = [
+            Quarantined(each.parts, now + each.duration, each.is_certain)
+            for each in causes
+        ]
+        return [each for each in entries if self._add(each, now)]
+
+    def _find_repeats(self, report, now):
+        """Return a CrashCause for each request that ran at several crashes."""
+        suspected = [
+            each.request
+            for each in report.suspects
+            if not self._answered.is_trusted(each.request, now)
+        ]
+        return self._repeats.add((report.replica, report.born), suspected, now)
 
     def adopt(self, entries, now):
         """Adopt the QuarantineEntries of another process or of an earlier start.
@@ -117,7 +136,7 @@
         """
         added = []
         for each in entries:
-            longest = QUARANTINE_TIME if each.is_certain else UNCERTAIN_TIME
+            longest = _find_longest_time(each)
             # The order of the arguments makes a time that is not a number zero.
             left = min(longest.total_seconds(), max(0.0, each.seconds_left))
             ends_at = now + timedelta(seconds=left)
@@ -127,7 +146,7 @@
         return added
 
     def find_time_left(self, part_ids, now):
-        """Return how long a prompt with parts (by id) is in quarantine, or None."""
+        """Return how long a request with parts (by id) is in quarantine, or None."""
         if not self._entries:
             return None
         parts = frozenset(part_ids)
@@ -166,3 +185,12 @@
 
     def _find_end(self, parts):
         return self._entries[parts].ends_at
+
+
+def _find_longest_time(entry):
+    """Return the longest time for which a QuarantineEntry may refuse requests."""
+    if not entry.is_certain:
+        return UNCERTAIN_TIME
+    if any(map(is_fingerprint, entry.parts)):
+        return MAX_REPEAT_QUARANTINE_TIME
+    return QUARANTINE_TIME
--- a/libs/gateway/tests/test_quarantine.py
+++ b/libs/gateway/tests/test_quarantine.py
@@ -12,6 +12,7 @@
 from balsamspoke_gateway.observing import PromptsQuarantined, ReplicaCrashed
 from balsamspoke_gateway.quarantine import (
     QUARANTINE_TIME,
+    UNCERTAIN_TIME,
     AnsweredParts,
     CrashReport,
     CrashSuspect,
@@ -21,7 +22,6 @@
     QuarantineUpdate,
 )
 from balsamspoke_gateway.quarantine.answered import TRUST_TIME
-from balsamspoke_gateway.quarantine.quarantine import UNCERTAIN_TIME
 from balsamspoke_gateway.requests import AdapterName, Prompt, PromptPart
 from hypothesis import given
 from hypothesis import strategies as st
--- a/libs/gateway/tests/test_repeated_requests.py
+++ b/libs/gateway/tests/test_repeated_requests.py
@@ -2,8 +2,26 @@
 
 import random
 import unittest
+from dataclasses import replace
+from datetime import timedelta
+
+from balsamspoke_gateway.quarantine import (
+    QUARANTINE_TIME,
+    UNCERTAIN_TIME,
+    CrashReport,
+    CrashSuspect,
+    PromptQuarantine,
+    make_fingerprint,
+)
+from balsamspoke_gateway.quarantine.repeats import (
+    MAX_REPEAT_QUARANTINE_TIME,
+    MAX_REQUESTS,
+    RepeatEvidence,
+)
+from balsamspoke_gateway.requests import CallerRequest
 
 from .engine_fleet import CRASHING_BODY, EngineFleet
+from .world import seconds
 
 # Bounds of the users: seconds after the third crash by a request from which at most
 # this many repeats may reach replicas.
@@ -81,6 +99,125 @@
         self.run_traffic(fleet, 5, duration=20)
         self.assertEqual(len(fleet.crashes), before)
 
+    def test_a_crash_is_told_to_each_peer_in_one_message(self):
+        fleet = EngineFleet()
+        # By then the processes know one another.
+        fleet.pass_time(3)
+        first, second, *_ = fleet.entries.values()
+        received = []
+        receive = second.core.receive_message
+        second.core.receive_message = lambda ip, message: (
+            received.append(message),
+            receive(ip, message),
+        )
+        for number in range(30):
+            first.send("stream", parts=["system", f"rare-{number}", "own"])
+        fleet.pass_time(0.05)
+        for engine in fleet.engines.values():
+            engine.crash()
+        fleet.pass_time(1)
+        reports = [each for each in received if isinstance(each, CrashReport)]
+        self.assertLessEqual(len(reports), len(fleet.engines))
+        self.assertEqual(sum(len(each.suspects) for each in reports), 30)
+
+
+class DecisionTests(unittest.TestCase):
+    """Which requests are refused after which crashes."""
+
+    FINGERPRINT = "request:1"
+
+    def setUp(self):
+        self.quarantine = PromptQuarantine()
+        self.now = timedelta(hours=1)
+        self.crashes = 0
+
+    def crash(self, *fingerprints):
+        """Record a crash with requests that have no suspected prompt part."""
+        self.crashes += 1
+        suspects = tuple(CrashSuspect(each, ()) for each in fingerprints)
+        report = CrashReport(f"replica-{self.crashes}", 1, suspects)
+        return self.quarantine.record_crash(report, self.now)
+
+    def find_time_left(self, fingerprint=FINGERPRINT):
+        return self.quarantine.find_time_left([fingerprint], self.now)
+
+    def test_two_crashes_refuse_a_request_for_a_short_time(self):
+        self.crash(self.FINGERPRINT, "request:2")
+        self.assertIsNone(self.find_time_left())
+        self.crash(self.FINGERPRINT, "request:3")
+        self.assertEqual(self.find_time_left(), UNCERTAIN_TIME)
+        self.assertIsNone(self.find_time_left("request:2"))
+
+    def test_each_crash_from_the_third_on_refuses_it_for_longer(self):
+        for _ in range(3):
+            self.crash(self.FINGERPRINT)
+        time_left = self.find_time_left()
+        self.assertEqual(time_left, QUARANTINE_TIME)
+        for _ in range(6):
+            self.now += time_left
+            self.assertIsNone(self.find_time_left())
+            self.crash(self.FINGERPRINT)
+            previous, time_left = time_left, self.find_time_left()
+            self.assertGreaterEqual(time_left, previous)
+        self.assertEqual(time_left, MAX_REPEAT_QUARANTINE_TIME)
+
+    def test_one_crash_that_several_processes_report_counts_once(self):
+        suspects = (CrashSuspect(self.FINGERPRINT, ()),)
+        for _ in range(4):
+            self.quarantine.record_crash(CrashReport("a", 1, suspects), self.now)
+        self.assertIsNone(self.find_time_left())
+
+    def test_a_request_that_was_answered_lately_is_not_suspected(self):
+        self.quarantine.record_answered([self.FINGERPRINT], self.now)
+        for _ in range(4):
+            self.crash(self.FINGERPRINT)
+        self.assertIsNone(self.find_time_left())
+
+    def test_an_answer_ends_the_suspicion_and_the_quarantine(self):
+        self.crash(self.FINGERPRINT)
+        self.crash(self.FINGERPRINT)
+        self.assertTrue(self.quarantine.record_answered([self.FINGERPRINT], self.now))
+        self.assertIsNone(self.find_time_left())
+        self.assertFalse(self.quarantine.is_repeated(self.FINGERPRINT))
+
+    def test_suspicions_end_and_their_number_is_bounded(self):
+        evidence = RepeatEvidence()
+        evidence.add(("a", 1), ["request:old"], self.now)
+        later = self.now + seconds(301)
+        many = [f"request:{number}" for number in range(MAX_REQUESTS + 10)]
+        evidence.add(("b", 1), many, later)
+        evidence.add(("c", 1), ["request:new"], later)
+        self.assertFalse(evidence.is_suspected("request:old"))
+        self.assertFalse(evidence.is_suspected(many[0]))
+        self.assertTrue(evidence.is_suspected("request:new"))
+
+
+class FingerprintTests(unittest.TestCase):
+    REQUEST = CallerRequest(
+        "id-1", b"POST", b"/p/x?q=1", "host", "/p/x", (), b"body", "key"
+    )
+
+    def test_requests_are_the_same_whatever_their_ids_and_headers(self):
+        other = replace(
+            self.REQUEST, id="id-2", headers=((b"a", b"b"),), key="another key"
+        )
+        self.assertEqual(
+            make_fingerprint(self.REQUEST, "team"), make_fingerprint(other, "team")
+        )
+
+    def test_requests_differ_by_each_part_of_their_content(self):
+        others = [
+            replace(self.REQUEST, method=b"GET"),
+            replace(self.REQUEST, host="another"),
+            replace(self.REQUEST, target=b"/p/x?q=2"),
+            replace(self.REQUEST, body=b"bod"),
+            replace(self.REQUEST, target=b"/p/x?q=1b", body=b"ody"),
+        ]
+        fingerprints = {make_fingerprint(each, "team") for each in others}
+        fingerprints.add(make_fingerprint(self.REQUEST, "team"))
+        fingerprints.add(make_fingerprint(self.REQUEST, "other"))
+        self.assertEqual(len(fingerprints), len(others) + 2)
+
 
 if __name__ == "__main__":
     unittest.main()
