Learn from the store which requests crash replicas while peers are silent

Cause: only certain causes were stored, and the store was read at the start alone.

Mend: a process with silent peers stores what it has found also before it is certain, and reads the records once a second for a minute after a crash that it saw. Nothing is read or written otherwise.

The new test failed before.

--- a/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
@@ -16,6 +16,10 @@
 # Interval at which the quarantine is sent to a peer chosen at random: to those that
 # have just started, and for messages that were lost.
 GOSSIP_INTERVAL = timedelta(milliseconds=500)
+# Interval at which a process that does not hear all its peers reads the store, for this
+# long after a crash.
+STORE_READ_INTERVAL = timedelta(seconds=1)
+STORE_READ_TIME = timedelta(minutes=1)
 # Parts that this process has reported, of which it passes answers on to its peers.
 MAX_REPORTED_PARTS = 1_000
 
@@ -50,6 +54,8 @@
         self._storage = None
         self._attempts = set()
         self._reported_parts = set()
+        self._last_crash = None
+        self._unstored = []
         self._reports = CrashReportBatch(self._clock, context.send_to_peers)
 
     def start(self, store, on_store_error):
@@ -67,6 +73,7 @@
         )
         self._run(self._load())
         self._run(self._gossip())
+        self._run(self._follow_store())
 
     def count_entries(self):
         """Return the number of sets of prompt parts in quarantine."""
@@ -155,7 +162,7 @@
             self._storage.rewrite()
 
     def _report_crash(self, report):
-        now = self._clock.monotonic()
+        now = self._last_crash = self._clock.monotonic()
         for suspect in report.suspects:
             self._remember_reported((suspect.request, *suspect.parts))
         self._reports.add(report)
@@ -164,10 +171,8 @@
             return
         update = QuarantineUpdate(self._quarantine.make_messages(now))
         self._context.send_to_peers(update)
-        if self._storage is not None:
-            for each in entries:
-                if each.is_certain:
-                    self._storage.add(each.parts, each.ends_at - now)
+        self._unstored += entries
+        self._store_entries(now)
 
     def _remember_reported(self, parts):
         if len(self._reported_parts) > MAX_REPORTED_PARTS:
@@ -235,6 +240,35 @@
                 messages = self._quarantine.make_messages(now)
                 self._send_to_random_peer(QuarantineUpdate(messages))
 
+    async def _follow_store(self):
+        """Learn from the store what silent peers have found, after a crash."""
+        while True:
+            await sleep(self._clock, STORE_READ_INTERVAL)
+            now = self._clock.monotonic()
+            self._store_entries(now)
+            has_crashed = (
+                self._last_crash is not None
+                and now - self._last_crash <= STORE_READ_TIME
+            )
+            if has_crashed and self._has_silent_peers(now):
+                self._adopt(await self._storage.read(), FROM_STORE)
+
+    def _store_entries(self, now):
+        """Store what was found here and is certain, or what peers can't be told."""
+        if self._storage is None:
+            return
+        self._unstored = [each for each in self._unstored if each.ends_at > now]
+        has_silent_peers = self._has_silent_peers(now)
+        stored = [
+            each for each in self._unstored if each.is_certain or has_silent_peers
+        ]
+        for each in stored:
+            self._storage.add(each.parts, each.ends_at - now)
+            self._unstored.remove(each)
+
+    def _has_silent_peers(self, now):
+        return self._context.peer_activity.count_silent(now) > 0
+
     def _send_to_random_peer(self, message):
         ips = self._context.peer_ips
         if ips:
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/storage.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/storage.py
@@ -53,12 +53,12 @@
 
 
 class QuarantineStorage:
-    """Keep the stored records in line with what this process has put in quarantine.
+    """Keep the records in line with what this process has put in quarantine.
 
-    Processes that all start anew at once learn from the records which prompts not to
-    send. Only the process that found a cause writes its record, and removes it when
-    the quarantine ends; a record whose writer is gone is removed by the next process
-    that starts after its end.
+    Processes that all start anew at once learn from the records which requests not to
+    send, and so do processes that don't hear one another. Only the process that found a
+    cause writes its record, and removes it when the quarantine ends; a record whose
+    writer is gone is removed by the next process that starts after its end.
 
     Parameters
     ----------
@@ -83,20 +83,30 @@
         self._ended = set()
 
     async def load(self):
-        """Return a list of QuarantineEntries of the records, once the store answers."""
-        while True:
-            try:
-                records = await self._store.list_all()
-            except StoreUnavailable as error:
-                self._on_error(error)
-                await sleep(self._clock, WRITE_INTERVAL)
-                continue
-            now = self._clock.now()
-            self._removed |= {each.parts for each in records if each.ends_at <= now}
-            return [
-                QuarantineEntry(each.parts, (each.ends_at - now).total_seconds())
-                for each in records
-            ]
+        """Return a list of QuarantineEntries of the records, once the store answers.
+
+        Records that have ended are removed.
+        """
+        records = await self._list_records()
+        while records is None:
+            await sleep(self._clock, WRITE_INTERVAL)
+            records = await self._list_records()
+        now = self._clock.now()
+        self._removed |= {each.parts for each in records if each.ends_at <= now}
+        return _make_entries(records, now)
+
+    async def read(self):
+        """Return a list of QuarantineEntries; empty if the store does not answer."""
+        records = await self._list_records()
+        return _make_entries(records or [], self._clock.now())
+
+    async def _list_records(self):
+        """Return a list of QuarantineRecords; None if the store does not answer."""
+        try:
+            return await self._store.list_all()
+        except StoreUnavailable as error:
+            self._on_error(error)
+            return None
 
     def add(self, parts, time_left):
         """Store a set of parts for a timedelta; it is written by ``run``."""
@@ -146,3 +156,11 @@
         if len(self._ended) >= MAX_REMEMBERED:
             self._ended.clear()
         self._ended.add(name)
+
+
+def _make_entries(records, now):
+    """Return QuarantineEntries of QuarantineRecords at a time of day."""
+    return [
+        QuarantineEntry(each.parts, (each.ends_at - now).total_seconds())
+        for each in records
+    ]
--- a/libs/gateway/tests/test_repeated_requests.py
+++ b/libs/gateway/tests/test_repeated_requests.py
@@ -99,6 +99,17 @@
         self.run_traffic(fleet, 5, duration=20)
         self.assertEqual(len(fleet.crashes), before)
 
+    def test_processes_that_hear_nothing_of_one_another_refuse_the_request(self):
+        for service, route in (("engines", "resumable"), ("plain", "safe")):
+            with self.subTest(service=service):
+                fleet = EngineFleet(engines=4, service=service)
+                self.run_traffic(fleet, 11, duration=3, route=route, bad_rate=0)
+                began = fleet.seconds
+                fleet.loses_messages = True
+                sinks = self.run_traffic(fleet, 11, route=route)
+                fleet.pass_time(6)
+                self.check(fleet, sinks, began)
+
     def test_a_crash_is_told_to_each_peer_in_one_message(self):
         fleet = EngineFleet()
         # By then the processes know one another.
