Suspect prompt parts that many prompts have after five crashes

Only a set that most prompts have is never refused: without it, little would be left to serve.

The new test failed before.

--- a/libs/gateway/src/balsamspoke_gateway/quarantine/evidence.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/evidence.py
@@ -9,6 +9,9 @@
 # and the cause if no other parts explain as many.
 MIN_CRASHES = 2
 CERTAIN_CRASHES = 3
+# Crashes that make parts a possible cause which many prompts have: by chance they are
+# in requests of each crash, and refusing them costs more.
+MIN_BROAD_CRASHES = 5
 EVIDENCE_LIFETIME = timedelta(minutes=5)
 # Time for which parts are refused that are known to crash replicas.
 QUARANTINE_TIME = timedelta(minutes=10)
@@ -82,28 +85,30 @@
                 cleared = True
         return cleared
 
-    def find_causes(self, known_causes, is_broad):
+    def find_causes(self, known_causes, shares):
         """Find the parts that explain crashes which nothing else explains.
 
         Parameters
         ----------
         known_causes : iterable of frozenset
             Sets of parts that are known to crash replicas.
-        is_broad : callable
-            Returns whether many prompts have a set of parts.
+        shares : PromptShares
+            Tells how many prompts have a set of parts.
 
         Returns
         -------
         list of CrashCause
-            New causes, none of them broad. Each was in requests of at least
-            ``MIN_CRASHES`` crashes that no other cause explains.
+            New causes, none of them in nearly all prompts. Each was in requests of at
+            least ``MIN_CRASHES`` crashes that no other cause explains, or of
+            ``MIN_BROAD_CRASHES`` if it is broad.
         """
-        candidates = {each for each in self._list_common_parts() if not is_broad(each)}
+        common = self._list_common_parts()
+        candidates = {each for each in common if not shares.is_ubiquitous(each)}
         causes = list(known_causes)
         crashes = {each: self._find_crashes(each) for each in candidates.union(causes)}
         found = []
         while True:
-            best, count = self._choose_best(candidates, crashes, causes)
+            best, count = self._choose_best(candidates, crashes, causes, shares)
             if count < MIN_CRASHES:
                 return found
             causes += best
@@ -123,7 +128,7 @@
         return {each.crash for each in self._suspicions if parts <= each.parts}
 
     @staticmethod
-    def _choose_best(candidates, crashes, causes):
+    def _choose_best(candidates, crashes, causes, shares):
         """Return the candidates that explain most other crashes, and their number."""
         counts = {}
         for parts in candidates:
@@ -134,7 +139,9 @@
                 continue
             # A cause with further parts is a less general explanation.
             explained = [crashes[each] for each in causes if each not in larger]
-            counts[parts] = len(crashes[parts].difference(*explained))
+            count = len(crashes[parts].difference(*explained))
+            if count >= MIN_BROAD_CRASHES or not shares.is_broad(parts):
+                counts[parts] = count
         most = max(counts.values(), default=0)
         best = [parts for parts, count in counts.items() if count == most]
         # Of sets that explain the same, the largest refuses the fewest requests.
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/quarantine.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/quarantine.py
@@ -110,7 +110,7 @@
         if any(each.parts for each in report.suspects):
             self._evidence.add(report, now)
             certain = [each.parts for each in self.list_entries(now) if each.is_certain]
-            causes += self._evidence.find_causes(certain, self._shares.is_broad)
+            causes += self._evidence.find_causes(certain, self._shares)
         entries = [
             Quarantined(each.parts, now + each.duration, each.is_certain)
             for each in causes
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/shares.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/shares.py
@@ -6,6 +6,9 @@
 SAMPLE_SIZE = 200
 # A set of parts that at least this fraction of the prompts have is broad.
 BROAD_SHARE = 0.25
+# A set that at least this fraction has is ubiquitous: without it, little would be left
+# to serve.
+UBIQUITOUS_SHARE = 0.6
 # Prompts with all parts that are assumed beside those of the sample.
 PRIOR_COUNT = 2
 
@@ -30,5 +33,12 @@
 
         With few prompts the share is not known well, so more sets count as broad.
         """
+        return self._estimate_share(parts) >= BROAD_SHARE
+
+    def is_ubiquitous(self, parts):
+        """Return whether nearly all prompts have all parts of a set."""
+        return self._estimate_share(parts) >= UBIQUITOUS_SHARE
+
+    def _estimate_share(self, parts):
         count = sum(parts <= prompt for prompt in self._prompts) + PRIOR_COUNT
-        return count >= BROAD_SHARE * (len(self._prompts) + PRIOR_COUNT)
+        return count / (len(self._prompts) + PRIOR_COUNT)
--- a/libs/gateway/tests/test_quarantine.py
+++ b/libs/gateway/tests/test_quarantine.py
@@ -84,6 +84,22 @@
         self.assertTrue(self.is_refused("system", "bad"))
         self.assertFalse(self.is_refused("system", "good"))
 
+    def test_a_part_that_a_third_of_prompts_have_is_refused_after_five_crashes(self):
+        quarantine = PromptQuarantine()
+        for number in range(60):
+            part = "bad" if number % 3 == 0 else f"sound-{number}"
+            quarantine.record_prompt(["system", part])
+        for number in range(5):
+            self.assertIsNone(quarantine.find_time_left(["system", "bad"], NOW))
+            suspects = (
+                CrashSuspect(f"bad-{number}", ("system", "bad")),
+                CrashSuspect(f"good-{number}", ("system", f"good-{number}")),
+            )
+            report = CrashReport(f"r{number}", 1, suspects)
+            quarantine.record_crash(report, NOW)
+        self.assertIsNotNone(quarantine.find_time_left(["system", "bad"], NOW))
+        self.assertIsNone(quarantine.find_time_left(["system", "good"], NOW))
+
     def test_a_small_sample_makes_no_part_the_cause_that_a_third_of_prompts_have(self):
         quarantine = PromptQuarantine()
         for number in range(15):
