Bound the bytes and numbers that a server may send

Looked for in the code: heads were bounded, but a whole answer was kept in memory as long as its attempt lasted, an event of a stream as long as the stream (copied anew with each piece), and the side process and the store's client waited for the next piece of a response for ever, so a server that sent a byte now and then stopped the control loop of its engine. A process has 200 to 300 MB, a link brings a gigabit a second. An event id or a keep-alive timeout with thousands of digits raised an error where bytes are parsed, which broke its connection with a traceback.

Whole answers may have 4 MiB now, events 1 MiB, responses to the processes' own calls 32 MiB within 10 s; what exceeds that is a lost answer and counts against the replica. Numbers beyond their digits count as absent. The tests failed before: bodies and events were read to their last piece, both numbers raised.

--- a/libs/gateway/src/balsamspoke_gateway/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/attempt.py
@@ -22,6 +22,9 @@
 from .streams import EventSplitter
 
 _FIRST_SERVER_ERROR = 500
+# Longest answer that is read whole before it is forwarded. One that doesn't end must
+# not fill the memory.
+MAX_WHOLE_ANSWER_BYTES = 4_194_304
 # A prompt that crashes replicas does so as the answer begins. Once a stream has gone on
 # for this time, its prompt is not the cause of a crash.
 HARMLESS_AFTER = timedelta(milliseconds=300)
@@ -231,11 +234,15 @@
 
     async def _read_body(self):
         pieces = []
+        size = 0
         while True:
             piece = await self._limit_to_attempt(self._exchange.read_piece())
             if not piece:
                 return b"".join(pieces)
             pieces.append(piece)
+            size += len(piece)
+            if size > MAX_WHOLE_ANSWER_BYTES:
+                raise AnswerLost(f"the answer exceeds {MAX_WHOLE_ANSWER_BYTES} bytes")
 
     async def _forward_whole_answer(self, answer):
         body = await self._read_body()
@@ -256,6 +263,8 @@
             if not piece:
                 break
             self._forward_events(answer, splitter.add(piece))
+            if splitter.is_too_long:
+                raise AnswerLost("the stream has an event without an end")
         sink = self._forwarding.sink
         if splitter.has_partial_event:
             raise ConnectionLost("the stream ends in the middle of an event")
--- a/libs/gateway/src/balsamspoke_gateway/streams.py
+++ b/libs/gateway/src/balsamspoke_gateway/streams.py
@@ -4,6 +4,10 @@
 
 _EVENT_END = b"\n\n"
 _ID_FIELD = b"id:"
+# Longest event. One that doesn't end must not fill the memory.
+MAX_EVENT_BYTES = 1_048_576
+# Digits of an id; longer ones count as none.
+_MAX_ID_DIGITS = 18
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +41,11 @@
         """Whether the bytes so far end in the middle of an event."""
         return bool(self._buffer)
 
+    @property
+    def is_too_long(self):
+        """Whether the event at the end of the bytes exceeds ``MAX_EVENT_BYTES``."""
+        return len(self._buffer) > MAX_EVENT_BYTES
+
     def add(self, data):
         """Add bytes; return a list of the StreamEvents that they complete."""
         *events, self._buffer = (self._buffer + data).split(_EVENT_END)
@@ -48,5 +57,6 @@
     for line in block.split(b"\n"):
         if line.startswith(_ID_FIELD):
             value = line[len(_ID_FIELD) :].strip()
-            event_id = int(value) if value.isdigit() else None
+            is_number = value.isdigit() and len(value) <= _MAX_ID_DIGITS
+            event_id = int(value) if is_number else None
     return StreamEvent(block + _EVENT_END, event_id)
--- a/libs/gateway/tests/test_forwarding.py
+++ b/libs/gateway/tests/test_forwarding.py
@@ -48,6 +48,18 @@
         self.assertEqual(request.replica_id, replica)
         self.assertEqual(request.time_left, seconds(2))
 
+    def test_a_body_without_an_end_is_given_up_and_not_kept(self):
+        for has_run in (True, False):
+            with self.subTest(has_run=has_run):
+                self.setUp()
+                endless = Answer(pieces=[bytes(2**20)] * 100, has_run=has_run)
+                self.script_both(endless)
+                sink, _ = self.world.send("unsafe")
+                self.assertIsInstance(sink.failure, OutcomeUnknown)
+                exchange = self.world.client.exchanges[0]
+                self.assertTrue(exchange.is_aborted)
+                self.assertGreater(len(exchange.remaining_pieces), 90)
+
     def test_refuses_without_a_configuration(self):
         self.world.context.configuration = None
         self.world.context.startup = StartupGate(self.world.clock)
@@ -206,6 +218,20 @@
                 self.assertTrue(sink.is_finished)
                 self.script_both(Answer(pieces=EVENTS, is_framed=is_framed))
 
+    def test_an_event_without_an_end_is_given_up_and_not_kept(self):
+        self.script_both(Answer(pieces=[EVENTS[0], *[b"data: x" * 2**17] * 100]))
+        sink, _ = self.world.send("stream")
+        self.assertTrue(sink.is_broken)
+        self.assertEqual(sink.body, EVENTS[0])
+        exchange = self.world.client.exchanges[0]
+        self.assertGreater(len(exchange.remaining_pieces), 90)
+
+    def test_an_event_id_of_thousands_of_digits_is_no_id(self):
+        event = b"id: " + b"9" * 5000 + b"\ndata: x\n\n"
+        self.script_both(Answer(pieces=[event]))
+        sink, _ = self.world.send("stream")
+        self.assertEqual((sink.body, sink.is_finished), (event, True))
+
     def test_truncates_a_broken_stream_that_may_not_be_resumed(self):
         self.script_both(Answer(pieces=[EVENTS[0]], breaks=True))
         sink, _ = self.world.send("stream")
--- a/libs/transport/src/balsamspoke_transport/calls.py
+++ b/libs/transport/src/balsamspoke_transport/calls.py
@@ -1,10 +1,17 @@
 """Client for small HTTP requests whose responses are read whole."""
 
+from datetime import timedelta
+
 from balsamspoke_types.timing import add_timeout
 
 from .exceptions import ReplyBroken
 from .http_requests import BufferedResponse, HttpRequest
 
+# Longest body, and longest time from its first to its last piece. A server that never
+# ends its response must neither fill the memory nor hold up the caller.
+MAX_RESPONSE_BYTES = 33_554_432
+MAX_RESPONSE_TIME = timedelta(seconds=10)
+
 
 class BufferedHttpClient:
     """Send requests to one server and return complete responses.
@@ -48,21 +55,35 @@
         ConnectionFailed
             If no connection could be made; nothing was sent.
         ReplyBroken
-            If the response is late, incomplete or malformed.
+            If the response is late, incomplete, malformed or too long.
         """
         fields = [(b"Host", self._host)]
         if body:
             fields.append((b"Content-Type", b"application/json"))
         request = HttpRequest(method, path, tuple(fields), body)
         exchange = self._pool.send(self._endpoint, request)
-        pieces = []
         try:
             head = await self._limit(exchange.read_head(), head_timeout)
-            while piece := await self._limit(exchange.read_piece(), piece_timeout):
-                pieces.append(piece)
+            body = await self._read_body(exchange, piece_timeout)
         finally:
             exchange.abort()
-        return BufferedResponse(head, b"".join(pieces))
+        return BufferedResponse(head, body)
+
+    async def _read_body(self, exchange, piece_timeout):
+        """Read the body of a response, within the bounds of its size and time."""
+        deadline = self._clock.monotonic() + MAX_RESPONSE_TIME
+        pieces = []
+        size = 0
+        while True:
+            time_left = deadline - self._clock.monotonic()
+            timeout = min(piece_timeout, time_left)
+            piece = await self._limit(exchange.read_piece(), timeout)
+            if not piece:
+                return b"".join(pieces)
+            pieces.append(piece)
+            size += len(piece)
+            if size > MAX_RESPONSE_BYTES:
+                raise ReplyBroken(f"the response exceeds {MAX_RESPONSE_BYTES} bytes")
 
     def _limit(self, reading, timeout):
         error = ReplyBroken("timed out waiting for the response")
--- a/libs/transport/src/balsamspoke_transport/connections.py
+++ b/libs/transport/src/balsamspoke_transport/connections.py
@@ -25,6 +25,9 @@
 
 # Keep-alive timeout that is assumed if the server states none.
 DEFAULT_KEEP_ALIVE_TIMEOUT = timedelta(seconds=2)
+MAX_KEEP_ALIVE_TIMEOUT = timedelta(hours=1)
+# Digits of a stated timeout; longer ones are ignored.
+_MAX_TIMEOUT_DIGITS = 9
 # Fraction of the keep-alive timeout for which an idle connection is reused; after that
 # the server may already be closing it. Lower for requests that are not idempotent: one
 # that is lost to a closing connection can't be retried.
@@ -298,8 +301,11 @@
         header = head.find(b"keep-alive") or b""
         for field in header.split(b","):
             value = field.strip()
-            if value.startswith(_TIMEOUT_FIELD) and value[8:].isdigit():
-                self._keep_alive_timeout = timedelta(seconds=int(value[8:]))
+            digits = value.removeprefix(_TIMEOUT_FIELD)
+            is_number = digits.isdigit() and len(digits) <= _MAX_TIMEOUT_DIGITS
+            if value.startswith(_TIMEOUT_FIELD) and is_number:
+                timeout = timedelta(seconds=int(digits))
+                self._keep_alive_timeout = min(timeout, MAX_KEEP_ALIVE_TIMEOUT)
 
     def _handle_data(self, data):
         if self._is_stale_response or self._exchange.handle_data(data):
--- a/libs/transport/tests/test_connections.py
+++ b/libs/transport/tests/test_connections.py
@@ -165,6 +165,27 @@
         self.time.advance(timedelta(seconds=1.2))
         self.assertFalse(self.connection.is_usable(True))
 
+    def test_a_keep_alive_timeout_without_sense_costs_nothing(self):
+        for timeout in (b"9" * 15, b"9" * 5000, b"-1", b"x"):
+            with self.subTest(timeout=timeout[:20]):
+                self.setUp()
+                exchange = self.send_request()
+                extra = b"Keep-Alive: timeout=%s\r\n" % timeout
+                self.connection.dataReceived(make_response(b"r1", extra=extra))
+                self.assertEqual(self.read_all(exchange), (b"whole", "whole"))
+                self.time.advance(timedelta(hours=2))
+                self.assertFalse(self.connection.is_usable(True))
+
+    def test_a_head_without_an_end_fails_the_exchange(self):
+        exchange = self.send_request()
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\n")
+        for _ in range(100):
+            if self.transport.is_aborted:
+                break
+            self.connection.dataReceived(b"x-field: " + b"y" * 1000 + b"\r\n")
+        self.assertTrue(self.transport.is_aborted)
+        self.assertEqual(self.read_all(exchange), (b"", "broken"))
+
     def test_closes_after_a_response_with_connection_close(self):
         exchange = self.send_request()
         self.connection.dataReceived(
