Don't load an adapter again and again that crashes its engine

An adapter whose load crashes its engine was ordered again after each restart, by the side process that wants it loaded, and at each other engine that requests went to instead; callers of all other adapters there lost their answers each time.

The side process remembers what was being loaded when its engine restarted. A newer version is loaded at once. Entry processes are told, and ask no replica to load an adapter that two refuse, so its callers are refused at once.

Measured in virtual time: two restarts in 25 s and at most six in an hour (seven a second before: the engine of the test restarts at each report), the adapters beside it are loaded. With the delay taken out (mutation) four of the tests fail.

--- a/libs/gateway/src/balsamspoke_gateway/adapters.py
+++ b/libs/gateway/src/balsamspoke_gateway/adapters.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from enum import Enum
 
+from .adapter_crashes import AdapterCrashes
 from .pacing import choose_lifetime
 
 # Adapters that one replica may load at once.
@@ -112,6 +113,20 @@
         self._demands = {}
         self._last_used = {}
         self._lost_orders = {}
+        self._crashes = AdapterCrashes()
+
+    def record_report(self, report, now):
+        """Record a new EngineReport at a monotonic time."""
+        self._crashes.record_report(report, now)
+
+    def record_sent_order(self, order):
+        """Record that an Order was sent, whatever the replica answered."""
+        if order.kind is OrderKind.LOAD and order.adapter is not None:
+            self._crashes.record_order(f"{order.model}/{order.adapter}", order.version)
+
+    def list_refused(self, now):
+        """Return the names (``model/name``) of adapters that may crash the replica."""
+        return self._crashes.list_delayed(now)
 
     def record_demand(self, entry, demand, now):
         """Record an EntryDemand of the entry process at an IP address."""
@@ -184,7 +199,7 @@
         if not report.models:
             return self._choose_model(report, engine)
         wanted = self._choose_wanted(report, now)
-        if wanted is None or len(report.pending) >= MAX_PENDING_ADAPTERS:
+        if wanted is None or not self._may_load_beside(report, wanted):
             return None
         is_slot_reserved = self._can_lost_order_apply(report, now)
         needs_slot = (
@@ -201,6 +216,14 @@
             report.orders,
         )
 
+    def _may_load_beside(self, report, wanted):
+        """Return whether an adapter may be loaded beside those that are pending."""
+        if report.pending and self._crashes.is_suspect(wanted):
+            return False
+        if self._crashes.has_suspect(report.pending):
+            return False
+        return len(report.pending) < MAX_PENDING_ADAPTERS
+
     def _can_lost_order_apply(self, report, now):
         """Return whether a lost order could still be executed after the next one.
 
@@ -231,7 +254,8 @@
             ):
                 del self._load_requests[wanted]
             elif pending_version < wanted.version:
-                return wanted
+                if not self._crashes.is_delayed(wanted, now):
+                    return wanted
         return None
 
     def _order_load_requests(self):
--- a/libs/gateway/src/balsamspoke_gateway/fleet.py
+++ b/libs/gateway/src/balsamspoke_gateway/fleet.py
@@ -242,6 +242,7 @@
             state.wanted_adapters,
             True,
             timedelta(seconds=state.load_time) or INITIAL_LOAD_TIME,
+            state.refused_adapters,
         )
 
     def _record_cached_adapters(self, replica_id, state):
--- a/libs/gateway/src/balsamspoke_gateway/messages.py
+++ b/libs/gateway/src/balsamspoke_gateway/messages.py
@@ -96,6 +96,8 @@
         Predicted seconds until the replica holds its model; 0 if it does.
     is_leaving : bool
         Whether the replica states that it leaves.
+    refused_adapters : tuple of str
+        Adapters that it does not load, as ``model/name``, because they may crash it.
     """
 
     born: int
@@ -112,6 +114,7 @@
     load_time: float = 0.0
     model_wait: float = 0.0
     is_leaving: bool = False
+    refused_adapters: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/balsamspoke_gateway/placement.py
+++ b/libs/gateway/src/balsamspoke_gateway/placement.py
@@ -24,6 +24,9 @@
 # one plus its requests a second: only the requests that follow a load make up for it,
 # so a rarely requested adapter stays where it is.
 SPREAD_COST_SECONDS = 0.6
+# Replicas that refuse to load an adapter because it may crash them, after which no
+# other one is asked to.
+MAX_REFUSALS = 2
 # Loads that an engine performs at once; further ones are queued.
 CONCURRENT_LOADS = 4
 # Cost per request at the replica, as each one slows down all running requests.
@@ -63,6 +66,8 @@
         recently.
     load_time : timedelta
         Estimated time to load an adapter.
+    refused_adapters : tuple of str
+        Adapters that it does not load, as ``model/name``, because they may crash it.
     """
 
     record: ReplicaRecord
@@ -73,6 +78,7 @@
     wanted_adapters: int = 0
     can_load: bool = False
     load_time: timedelta = INITIAL_LOAD_TIME
+    refused_adapters: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,13 +184,15 @@
     adapter = prompt.target.adapter
     key = f"{prompt.target.model}/{adapter}"
     usable = [each for each in candidates if each.held is not None]
+    refusals = sum(key in each.refused_adapters for each in usable)
     is_available = any(_holds_or_loads(each, adapter, version) for each in usable)
     load_cost = LOAD_COST_SECONDS + (
         SPREAD_COST_SECONDS / (1 + requirements.popularity) if is_available else 0.0
     )
     for rank, each in enumerate(rank_replicas(key, usable)):
         must_load = adapter is not None and not _holds(each, adapter, version)
-        if must_load and not each.can_load:
+        is_refused = key in each.refused_adapters or refusals >= MAX_REFUSALS
+        if must_load and (is_refused or not each.can_load):
             continue
         tokens = max(1, prompt.tokens - count_cached_tokens(each.record.id))
         wait = each.load.predict_wait(tokens).total_seconds()
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -152,6 +152,7 @@
         now = self._clock.monotonic()
         self._model_loads.record_report(self._report, now)
         self._load_times.record_report(self._report, now)
+        self._plan.record_report(self._report, now)
         self._send_states()
         engine = self._find_engine()
         if engine is None:
@@ -163,6 +164,7 @@
         return await self._send_order(order)
 
     async def _send_order(self, order):
+        self._plan.record_sent_order(order)
         try:
             outcome = await self._replica.send_order(order)
         except AttemptError as error:
@@ -221,6 +223,7 @@
                 self._load_times.estimate.total_seconds(),
                 model_wait.total_seconds(),
                 report.is_leaving,
+                self._plan.list_refused(now),
             )
             self._peers.send(entry, state)
         for entry in set(self._last_sent) - set(demands):
