--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/observing/__init__.py
@@ -0,0 +1,55 @@
+"""Events that a process reports for its logs and metrics.
+
+Event names and field names are the names in the logs.
+"""
+
+from .observers import Observer, Observers, ProgramFailed
+from .quarantine import PromptsQuarantined, QuarantineLifted, ReplicaCrashed
+from .replicas import (
+    BackoffRequested,
+    HeaderUnreadable,
+    OrderGiven,
+    PrefillRateLimitChanged,
+    RateLimitLifted,
+    RateLimitNamed,
+    ReplicaChanged,
+    ReplicasListed,
+)
+from .requests import ANSWERED, AttemptEnded, RequestEnded, RequestsEnded
+from .store import (
+    AdapterAnnounced,
+    ConfigurationAdopted,
+    DependencyLost,
+    DependencyRegained,
+    EntriesListed,
+    PeersAhead,
+    StoreRestored,
+)
+
+__all__ = [
+    "ANSWERED",
+    "AdapterAnnounced",
+    "AttemptEnded",
+    "BackoffRequested",
+    "ConfigurationAdopted",
+    "DependencyLost",
+    "DependencyRegained",
+    "EntriesListed",
+    "HeaderUnreadable",
+    "Observer",
+    "Observers",
+    "OrderGiven",
+    "PeersAhead",
+    "PrefillRateLimitChanged",
+    "ProgramFailed",
+    "PromptsQuarantined",
+    "QuarantineLifted",
+    "RateLimitLifted",
+    "RateLimitNamed",
+    "ReplicaChanged",
+    "ReplicaCrashed",
+    "ReplicasListed",
+    "RequestEnded",
+    "RequestsEnded",
+    "StoreRestored",
+]
--- /dev/null
+++ b/libs/gateway/src/balsamspoke_gateway/observing/replicas.py
@@ -0,0 +1,158 @@
+"""Events of replicas, and of what they say of themselves."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicasListed:
+    """The complete list of replicas was read from the store.
+
+    Attributes
+    ----------
+    count : int
+        Number of replicas in the list.
+    revision : int
+        Revision of the store at which the list was read.
+    """
+
+    count: int
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaChanged:
+    """A replica was added, is leaving or was removed.
+
+    Attributes
+    ----------
+    replica : str
+        Id of the replica.
+    change : str
+        ``new``, ``leaving`` or ``gone``.
+    reason : str
+        Observation from which the change follows.
+    """
+
+    replica: str
+    change: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class BackoffRequested:
+    """A replica refused a request, and wants none for a time.
+
+    Attributes
+    ----------
+    replica : str
+        Id of the replica.
+    duration : timedelta
+        The time that it asked for.
+    """
+
+    replica: str
+    duration: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimitNamed:
+    """A replica takes no more than a rate of requests from all processes together.
+
+    Attributes
+    ----------
+    replica : str
+        Id of the replica.
+    rate : float
+        Requests a second.
+    reason : str
+        How this process learned it.
+    """
+
+    replica: str
+    rate: float
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimitLifted:
+    """A replica takes requests without a limit again.
+
+    Attributes
+    ----------
+    replica : str
+        Id of the replica.
+    reason : str
+        How this process learned it.
+    """
+
+    replica: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class HeaderUnreadable:
+    """A header of an answer could not be read, and counts as absent.
+
+    Attributes
+    ----------
+    source : str
+        Id of the replica that sent it, or ``store``.
+    header : str
+        Name of the header.
+    """
+
+    source: str
+    header: str
+
+
+@dataclass(frozen=True, slots=True)
+class OrderGiven:
+    """A side process sent an order to its replica.
+
+    Attributes
+    ----------
+    kind : str
+        ``load`` or ``unload``.
+    model : str
+        Name of the base model.
+    adapter : str or None
+        Name of the adapter; None if the order concerns the base model itself.
+    version : int
+        Version of the adapter; 0 for the newest.
+    expected_orders : int
+        Number of orders that the replica must have accepted before; otherwise it
+        refuses this one.
+    held : int
+        Adapters that the replica held when the order was chosen.
+    pending : int
+        Adapters that the replica was loading when the order was chosen.
+    outcome : str
+        The replica's answer, or the class name of the error.
+    """
+
+    kind: str
+    model: str
+    adapter: str | None
+    version: int
+    expected_orders: int
+    held: int
+    pending: int
+    outcome: str
+
+
+@dataclass(frozen=True, slots=True)
+class PrefillRateLimitChanged:
+    """A side process began, or ceased, to limit the prefill rate of its replica.
+
+    Attributes
+    ----------
+    max_event_interval : timedelta or None
+        Longest interval between the events of a stream to be kept; None if the rate is
+        no longer limited.
+    late_events : int
+        Late events that were reported within the counting time.
+    """
+
+    max_event_interval: timedelta | None
+    late_events: int
