Tests: requests of a fleet's engines end in the order of their arrival

The set that held them was ordered by addresses in memory, so a crash broke answers off in another order in each run.

--- a/libs/gateway/tests/engine_fleet.py
+++ b/libs/gateway/tests/engine_fleet.py
@@ -77,7 +77,7 @@
 
     def abort(self):
         self.is_ended = True
-        self.engine.running.discard(self)
+        self.engine.running.pop(self, None)
 
     def start(self):
         """Supply the head of the answer."""
@@ -120,8 +120,8 @@
         Its entry in the store.
     is_up : bool
         Whether it accepts connections.
-    running : set of EngineExchange
-        Requests without a complete answer.
+    running : dict
+        EngineExchanges without a complete answer, in the order of their arrival.
     rate_limit : float or None
         Requests a second that it names as its limit.
     """
@@ -130,11 +130,11 @@
         self.fleet = fleet
         self.record = record
         self.is_up = True
-        self.running = set()
+        self.running = {}
         self.rate_limit = None
 
     def run(self, exchange):
-        self.running.add(exchange)
+        self.running[exchange] = None
         self.fleet.call_later(START_DELAY, self._begin, exchange)
 
     def _begin(self, exchange):
@@ -155,7 +155,7 @@
         if exchange.is_ended:
             return
         if number > EVENT_COUNT:
-            self.running.discard(exchange)
+            self.running.pop(exchange, None)
             exchange.is_ended = True
             exchange.supply(b"")
             return
@@ -170,7 +170,7 @@
         """End, with all running requests, and start again after some time."""
         self.fleet.crashes.append(self.fleet.seconds)
         self.is_up = False
-        running, self.running = list(self.running), set()
+        running, self.running = list(self.running), {}
         for exchange in running:
             exchange.break_off(self.fleet.make_loss_error())
         self.fleet.call_later(RESTART_DELAY, self._start_again)
