Log which adapters a side process refuses to load

One line when the set changes, so that a refusal for lack of a replica can be traced to it; and the attempts that the quarantine recalls are kept in the order of their start.

--- a/libs/gateway/src/balsamspoke_gateway/observing/__init__.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing/__init__.py
@@ -6,6 +6,7 @@
 from .observers import Observer, Observers, ProgramFailed
 from .quarantine import PromptsQuarantined, QuarantineLifted, ReplicaCrashed
 from .replicas import (
+    AdaptersRefused,
     BackoffRequested,
     HeaderUnreadable,
     OrderGiven,
@@ -28,6 +29,7 @@
 
 __all__ = [
     "ANSWERED",
+    "AdaptersRefused",
     "AdapterAnnounced",
     "AttemptEnded",
     "BackoffRequested",
--- a/libs/gateway/src/balsamspoke_gateway/observing/replicas.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing/replicas.py
@@ -141,6 +141,19 @@
     outcome: str
 
 
+@dataclass(frozen=True, slots=True)
+class AdaptersRefused:
+    """The adapters that a side process doesn't load, as they may crash its replica.
+
+    Attributes
+    ----------
+    adapters : tuple of str
+        All of them, as ``model/name``; empty if there is none any more.
+    """
+
+    adapters: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class PrefillRateLimitChanged:
     """A side process began, or ceased, to limit the prefill rate of its replica.
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
@@ -52,7 +52,7 @@
             context.clock, lambda record: context.client.is_refusing(record)
         )
         self._storage = None
-        self._attempts = set()
+        self._attempts = {}
         self._reported_parts = set()
         self._last_crash = None
         self._unstored = []
@@ -92,11 +92,11 @@
 
     def add_attempt(self, attempt):
         """Recall an Attempt if its prompt gets into quarantine while it runs."""
-        self._attempts.add(attempt)
+        self._attempts[attempt] = None
 
     def remove_attempt(self, attempt):
         """Forget an Attempt that has ended."""
-        self._attempts.discard(attempt)
+        self._attempts.pop(attempt, None)
 
     def record_answered(self, parts):
         """Record that a replica has answered a request with parts without a crash."""
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -17,7 +17,7 @@
 from .exceptions import AttemptError
 from .messages import EntryDemand, ReplicaState
 from .model_loads import ModelLoadMonitor
-from .observing import OrderGiven, ProgramFailed
+from .observing import AdaptersRefused, OrderGiven, ProgramFailed
 from .pacing import MIN_INTERVAL, choose_interval
 from .reachability import Reachability
 
@@ -71,6 +71,7 @@
         self._load_times = AdapterLoadTimes()
         self._model_loads = ModelLoadMonitor()
         self._admission = AdmissionController(clock, peers, observer)
+        self._refused_adapters = ()
 
     @property
     def report_age(self):
@@ -153,6 +154,7 @@
         self._model_loads.record_report(self._report, now)
         self._load_times.record_report(self._report, now)
         self._plan.record_report(self._report, now)
+        self._report_refused_adapters(now)
         self._send_states()
         engine = self._find_engine()
         if engine is None:
@@ -163,6 +165,12 @@
             return False
         return await self._send_order(order)
 
+    def _report_refused_adapters(self, now):
+        refused = self._plan.list_refused(now)
+        if refused != self._refused_adapters:
+            self._refused_adapters = refused
+            self._observer.observe(AdaptersRefused(refused))
+
     async def _send_order(self, order):
         self._plan.record_sent_order(order)
         try:
--- a/libs/gateway/tests/test_side.py
+++ b/libs/gateway/tests/test_side.py
@@ -1,4 +1,5 @@
 import unittest
+from dataclasses import replace
 from datetime import timedelta
 from unittest import mock
 
@@ -8,7 +9,7 @@
 from balsamspoke_gateway.exceptions import AnswerLost
 from balsamspoke_gateway.messages import EntryDemand, ReplicaState, WantedAdapter
 from balsamspoke_gateway.model_loads import ModelLoadMonitor
-from balsamspoke_gateway.observing import ProgramFailed
+from balsamspoke_gateway.observing import AdaptersRefused, ProgramFailed
 from balsamspoke_gateway.ports import ReplicaControl
 from balsamspoke_gateway.side import SideCore
 from twisted.internet.defer import fail, succeed
@@ -133,6 +134,24 @@
         self.time.advance(seconds(0.4))
         self.assertLess(self.list_states()[-1].wanted_adapters, 3)
 
+    def test_tells_which_adapters_may_crash_its_replica(self):
+        control = self.control
+        read_report = control.read_report
+        self.born = 0
+
+        def crash_while_loading():
+            self.born += 1
+            control.models = {MODEL: {}}
+            report = read_report().result
+            pending = {f"{MODEL}/bad": 1}
+            return succeed(replace(report, born=self.born // 2, pending=pending))
+
+        control.read_report = crash_while_loading
+        self.core.start()
+        self.time.advance(seconds(2))
+        refused = AdaptersRefused((f"{MODEL}/bad",))
+        self.assertIn(refused, self.observer.events)
+
     def test_predicts_when_a_restarted_replica_holds_its_model(self):
         monitor = ModelLoadMonitor()
         model = EngineModel(MODEL, 10.0, seconds(1.6), seconds(3.9))
