--- a/libs/gateway/tests/test_crashing_prompts.py
+++ b/libs/gateway/tests/test_crashing_prompts.py
@@ -44,6 +44,18 @@
                 sent, served = traffic.count_served(10)
                 self.assertGreater(served, 0.9 * sent)
 
+    def test_a_part_of_a_quarter_of_the_prompts_that_crashes_engines_at_the_start(
+        self,
+    ):
+        for seed in (30, 37):
+            with self.subTest(seed=seed):
+                fleet = EngineFleet()
+                traffic = Traffic(fleet, seed)
+                traffic.run(20, sound_rate=30, bad_rate=10)
+                last = fleet.crashes[:5][-1]
+                later = fleet.find_arrivals(CRASHING_PART, last + STABLE_WINDOW)
+                self.assertLessEqual(len(later), MAX_LATER_ARRIVALS)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/libs/gateway/tests/test_rate_limits.py
+++ b/libs/gateway/tests/test_rate_limits.py
@@ -2,6 +2,7 @@
 from dataclasses import replace
 
 from balsamspoke_gateway.observing import RateLimitLifted, RateLimitNamed
+from balsamspoke_gateway.rate_limiting import RateLimitNotice
 from balsamspoke_gateway.rate_limiting.limits import MIN_RATE, ReplicaRateLimits
 
 from .world import Answer, World, make_record, seconds
@@ -34,6 +35,17 @@
         self.assertIsNone(self.limits.find_rate(self.record))
         self.assertEqual(len(self.list_events(RateLimitLifted)), 1)
 
+    def test_peers_are_told_of_a_limit_and_of_its_end(self):
+        self.world.context.peer_ips = ["10.0.1.2"]
+        self.world.client.script("a", Answer(rate_limit=3.5), Answer())
+        self.world.send("safe")
+        self.world.pass_time(5)
+        self.world.send("safe")
+        notices = [RateLimitNotice("a", self.record.born, rate) for rate in (3.5, None)]
+        self.assertEqual(
+            self.world.peers.sent, [("10.0.1.2", each) for each in notices]
+        )
+
     def test_an_unsigned_or_misdirected_answer_says_nothing_of_the_limit(self):
         for answer in (Answer(503, has_run=False, is_signed=False), Answer(421)):
             self.setUp()
