--- a/libs/gateway/tests/test_repeated_requests.py
+++ b/libs/gateway/tests/test_repeated_requests.py
@@ -184,6 +184,15 @@
             self.crash(self.FINGERPRINT)
         self.assertIsNone(self.find_time_left())
 
+    def test_its_other_parts_are_suspected_all_the_same(self):
+        self.quarantine.record_prompt(["sound"] * 40)
+        self.quarantine.record_answered([self.FINGERPRINT], self.now)
+        for replica in "abcd":
+            suspects = (CrashSuspect(self.FINGERPRINT, ("rare",)),)
+            report = CrashReport(replica, 1, suspects)
+            self.quarantine.record_crash(report, self.now)
+        self.assertIsNone(self.find_time_left())
+
     def test_an_answer_ends_the_suspicion_and_the_quarantine(self):
         self.crash(self.FINGERPRINT)
         self.crash(self.FINGERPRINT)
@@ -227,7 +236,9 @@
         fingerprints = {make_fingerprint(each, "team") for each in others}
         fingerprints.add(make_fingerprint(self.REQUEST, "team"))
         fingerprints.add(make_fingerprint(self.REQUEST, "other"))
-        self.assertEqual(len(fingerprints), len(others) + 2)
+        shifted = replace(self.REQUEST, body=b"ody")
+        fingerprints.add(make_fingerprint(shifted, "teamb"))
+        self.assertEqual(len(fingerprints), len(others) + 3)
 
 
 if __name__ == "__main__":
