--- a/libs/gateway/tests/test_quarantine.py
+++ b/libs/gateway/tests/test_quarantine.py
@@ -100,6 +100,13 @@
         self.assertIsNotNone(quarantine.find_time_left(["system", "bad"], NOW))
         self.assertIsNone(quarantine.find_time_left(["system", "good"], NOW))
 
+    def test_a_part_that_nearly_all_prompts_have_is_never_refused(self):
+        for number in range(60):
+            self.quarantine.record_prompt(["system", f"sound-{number}"])
+        for number in range(10):
+            self.crash(["system", f"rare-{number}"])
+        self.assertFalse(self.is_refused("system"))
+
     def test_a_small_sample_makes_no_part_the_cause_that_a_third_of_prompts_have(self):
         quarantine = PromptQuarantine()
         for number in range(15):
