--- a/libs/gateway/tests/test_adapter_crashes.py
+++ b/libs/gateway/tests/test_adapter_crashes.py
@@ -94,6 +94,15 @@
             plan.record_report(EngineReport(born, {MODEL: {"a": 1, "b": 1}}), now)
             self.assertEqual(plan.list_refused(now), ())
 
+    def test_an_adapter_that_was_loaded_meanwhile_is_cleared(self):
+        plan, now = AdapterPlan(), seconds(10)
+        pending = {f"{MODEL}/a": 1}
+        for born in range(1, 6):
+            plan.record_report(EngineReport(born, {MODEL: {}}, pending), now)
+            plan.record_report(EngineReport(born + 1, {MODEL: {}}), now)
+            plan.record_report(EngineReport(born + 1, {MODEL: {"a": 1}}), now)
+            self.assertEqual(plan.list_refused(now), ())
+
     def test_the_delay_grows_to_its_bound(self):
         self.assertLess(FIRST_DELAY, MAX_DELAY)
         engine = CrashingEngine(("bad", 1))
