Go on storing and reading the quarantine after an unexpected error of its list

Found on reading the diff: a list that failed with anything but an unavailable store ended the loop which writes the quarantine, and the one that reads it while peers are silent, for the rest of the process. It is reported and tried again now. The test failed before: nothing was stored.

Some docstrings speak of requests where they spoke of prompts only.

--- a/libs/gateway/src/balsamspoke_gateway/observing/quarantine.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing/quarantine.py
@@ -27,12 +27,13 @@
 
 @dataclass(frozen=True, slots=True)
 class PromptsQuarantined:
-    """Prompts with certain parts are refused from now on.
+    """Requests with certain parts are refused from now on.
 
     Attributes
     ----------
     parts : tuple of str
-        Ids of the parts; a prompt that has all of them is refused.
+        Ids of the prompt parts, or the fingerprint of a request; a request that has all
+        of them is refused.
     is_certain : bool
         Whether they are known to crash replicas; otherwise they are refused for a
         shorter time.
@@ -47,12 +48,12 @@
 
 @dataclass(frozen=True, slots=True)
 class QuarantineLifted:
-    """Prompts with certain parts are sent to replicas again.
+    """Requests with certain parts are sent to replicas again.
 
     Attributes
     ----------
     parts : tuple of str
-        Ids of the parts.
+        Ids of the prompt parts, or the fingerprint of a request.
     reason : str
         Which answer showed that they crash no replica.
     """
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/__init__.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/__init__.py
@@ -1,4 +1,4 @@
-"""Quarantine of prompt parts that crash the replicas which answer them."""
+"""Quarantine of requests, and of prompt parts, that crash replicas."""
 
 from .answered import AnsweredPartsCache
 from .coordinator import QuarantineCoordinator
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
@@ -76,7 +76,7 @@
         self._run(self._follow_store())
 
     def count_entries(self):
-        """Return the number of sets of prompt parts in quarantine."""
+        """Return the number of sets of parts in quarantine."""
         return len(self._quarantine.list_entries(self._clock.monotonic()))
 
     def check(self, parts):
@@ -91,7 +91,7 @@
         self._quarantine.record_prompt(prompt.shared_part_ids)
 
     def add_attempt(self, attempt):
-        """Recall an Attempt if its prompt gets into quarantine while it runs."""
+        """Recall an Attempt if its request gets into quarantine while it runs."""
         self._attempts[attempt] = None
 
     def remove_attempt(self, attempt):
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/storage.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/storage.py
@@ -101,12 +101,17 @@
         return _make_entries(records or [], self._clock.now())
 
     async def _list_records(self):
-        """Return a list of QuarantineRecords; None if the store does not answer."""
+        """Return a list of QuarantineRecords; None if that fails."""
         try:
             return await self._store.list_all()
         except StoreUnavailable as error:
             self._on_error(error)
-            return None
+        except CancelledError:
+            raise
+        except Exception:
+            # Without its loop the process would learn and store nothing any more.
+            self._report_bug(Failure())
+        return None
 
     def add(self, parts, time_left):
         """Store a set of parts for a timedelta; it is written by ``run``."""
--- a/libs/gateway/src/balsamspoke_gateway/rate_limiting/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/rate_limiting/coordinator.py
@@ -104,15 +104,14 @@
     def inform(self, ip):
         """Tell a peer that has just started of the limits that this process keeps.
 
-        Only the issuer of a replica's permits does so, so that the peer is told once.
+        The issuer of a replica's permits does so, so that the peer is told once. Where
+        that is the peer itself from now on, all processes do.
         """
         now = self._clock.monotonic()
         for record in self._context.fleet.directory.list_all():
             rate = self._limits.find_rate(record)
-            if rate is not None and self._issuers.choose(record.id, now) in (
-                self._own_ip,
-                ip,
-            ):
+            issuer = self._issuers.choose(record.id, now)
+            if rate is not None and issuer in (self._own_ip, ip):
                 notice = RateLimitNotice(record.id, record.born, rate)
                 self._context.peers.send(ip, notice)
 
--- a/libs/gateway/tests/test_quarantine.py
+++ b/libs/gateway/tests/test_quarantine.py
@@ -453,6 +453,21 @@
         self.assertIn(("second",), world.store.records["quarantine"])
         self.assertEqual([each.type for each in bugs], [TypeError])
 
+    def test_an_unexpected_error_of_the_store_ends_neither_reading_nor_writing(self):
+        fleet = EngineFleet()
+        with mock.patch.object(
+            FakeQuarantineStore, "list_all", side_effect=TypeError("unexpected")
+        ):
+            for ip in list(fleet.entries):
+                fleet.start_entry(ip)
+            Traffic(fleet, 3).run(3, bad_rate=0)
+            fleet.loses_messages = True
+            Traffic(fleet, 3).run(6)
+        Traffic(fleet, 3).run(4)
+        self.assertNotEqual(fleet.store.records["quarantine"], {})
+        for entry in fleet.entries.values():
+            self.assertGreater(entry.core.count_quarantined(), 0)
+
     def test_the_store_is_rid_of_what_has_ended(self):
         fleet = EngineFleet()
         self.run_until_refused(fleet)
