Don't let an address that another replica uses draw requests

It counts as unreachable now, which keeps other requests away for a time that doubles. Engines are told apart by what they hold already.

The test failed before: all of 40 requests went there first; at most two do now.

--- a/libs/gateway/src/balsamspoke_gateway/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/attempt.py
@@ -191,7 +191,7 @@
         self._record_wishes(answer)
         if not answer.has_run:
             if answer.is_misdirected:
-                self._context.fleet.record_misdirection(self._record)
+                self._record_misdirection()
             await self._read_body()
             raise NotRun(f"the replica answered {answer.status} without running")
         if answer.is_success and not answer.is_signed:
@@ -201,6 +201,14 @@
         else:
             await self._forward_whole_answer(answer)
 
+    def _record_misdirection(self):
+        """Record that the replica isn't at its address, or lacks what was asked."""
+        self._context.fleet.record_misdirection(self._record)
+        if self._forwarding.request.prompt is None:
+            # A replica without models lacks nothing: another one answered.
+            now = self._context.clock.monotonic()
+            self._context.fleet.health.record_failure(self._record.id, now, True)
+
     def _record_wishes(self, answer):
         """Record what the replica says of the requests that it wants from now on."""
         for name in answer.unreadable_headers:
--- a/libs/gateway/tests/test_forwarding.py
+++ b/libs/gateway/tests/test_forwarding.py
@@ -109,6 +109,15 @@
         sink, _ = self.world.send("unsafe")
         self.assertEqual((sink.status, sink.body), (500, b"body"))
 
+    def test_an_address_that_another_replica_uses_does_not_draw_requests(self):
+        # Its refusals are fast, so it always seems to be the least loaded.
+        self.world.client.answers["a"] = [Answer(421, has_run=False)] * 100
+        for _ in range(40):
+            sink, _ = self.world.send("unsafe")
+            self.assertEqual(sink.status, 200)
+        receivers = [replica for replica, _ in self.world.client.sent]
+        self.assertLessEqual(receivers.count("a"), 2)
+
     def test_does_not_accept_an_unsigned_success(self):
         self.script_both(Answer(is_signed=False))
         sink, _ = self.world.send("unsafe")
