--- a/libs/gateway/tests/test_replica_beliefs.py
+++ b/libs/gateway/tests/test_replica_beliefs.py
@@ -132,15 +132,27 @@
             if count > RATE * (self.seconds - begin) + burst + 1e-6:
                 self.violations.append(f"{count} requests to {key} since {begin}")
 
-    @rule(name=st.sampled_from(sorted(ANSWERS)))
-    def change_answers(self, name):
-        self.next_answer = name
-
-    @rule(count=st.integers(1, 6), route=st.sampled_from(["safe", "unsafe"]))
-    def send(self, count, route):
-        for _ in range(count):
+    @rule(
+        names=st.lists(st.sampled_from(sorted(ANSWERS)), min_size=1, max_size=4),
+        route=st.sampled_from(["safe", "unsafe"]),
+    )
+    def send(self, names, route):
+        for name in names:
+            self.next_answer = name
             self.world.send(route)
 
+    @rule(
+        names=st.lists(st.sampled_from(sorted(ANSWERS)), min_size=1, max_size=4),
+        pause=st.sampled_from([0.01, 0.3, 1.0]),
+    )
+    def send_to_a_new_start(self, names, pause):
+        self.start_again()
+        self.world.pass_time(1)
+        for name in names:
+            self.next_answer = name
+            self.world.send("safe")
+            self.world.pass_time(pause)
+
     @rule(duration=st.sampled_from([0.01, 0.3, 1.0, 4.0]))
     def wait(self, duration):
         self.world.pass_time(duration)
@@ -230,7 +242,7 @@
 
 
 ReplicaBeliefsTests = ReplicaBeliefs.TestCase
-ReplicaBeliefsTests.settings = settings(examples(60), stateful_step_count=40)
+ReplicaBeliefsTests.settings = settings(examples(100), stateful_step_count=30)
 
 if __name__ == "__main__":
     unittest.main()
