Say in the logs which software version served an attempt or a resumed stream

Callers got streams of two software versions, and neither logs nor metrics could tell which version a replica had, which stream a caller resumed, or whether a stream went on within one answer or over two of the caller's attempts.

No decision uses any of it yet.

--- a/libs/gateway/src/balsamspoke_gateway/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/attempt.py
@@ -17,7 +17,7 @@
     TimedOut,
 )
 from .late_events import is_late_event
-from .observing import BackoffRequested, HeaderUnreadable
+from .observing import BackoffRequested, HeaderUnreadable, StreamResumed
 from .requests import ReplicaRequest
 from .streams import EventSplitter
 
@@ -323,6 +323,19 @@
     def _is_new(event, last_event_id):
         return event.id is None or last_event_id is None or event.id > last_event_id
 
+    def _report_resumption(self):
+        last_event_id = self._forwarding.progress.last_event_id
+        if last_event_id is None:
+            return
+        resumed = StreamResumed(
+            self._forwarding.request.id,
+            self._forwarding.resumed_id,
+            self._record.id,
+            self._record.software_version,
+            last_event_id,
+        )
+        self._context.observer.observe(resumed)
+
     def _record_interval(self):
         """Count the event as late if prefill may have delayed it."""
         limit = self._forwarding.route.max_event_interval
@@ -340,6 +353,7 @@
 
     def _record_first_event(self):
         self._first_event_at = self._context.clock.monotonic()
+        self._report_resumption()
         if not self._unread_tokens:
             return
         waited = self._first_event_at - self._sent_at
--- a/libs/gateway/src/balsamspoke_gateway/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -230,6 +230,7 @@
                 attempt.version,
                 self.list_shared_parts(),
                 self.fingerprint,
+                choice.candidate.record.software_version,
             )
             self.context.observer.observe(ended)
 
@@ -238,6 +239,13 @@
         prompt = self.request.prompt
         return () if prompt is None else prompt.shared_part_ids
 
+    @property
+    def resumed_id(self):
+        """Id of the request that brought the stream's first event; empty if unknown."""
+        if self.request.last_event_id is None:
+            return self.request.id
+        return self.request.resumed_id or ""
+
     @cached_property
     def fingerprint(self):
         """Text by which the request is recognised if it is sent again."""
--- a/libs/gateway/src/balsamspoke_gateway/observing/__init__.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing/__init__.py
@@ -16,7 +16,13 @@
     ReplicaChanged,
     ReplicasListed,
 )
-from .requests import ANSWERED, AttemptEnded, RequestEnded, RequestsEnded
+from .requests import (
+    ANSWERED,
+    AttemptEnded,
+    RequestEnded,
+    RequestsEnded,
+    StreamResumed,
+)
 from .store import (
     AdapterAnnounced,
     ConfigurationAdopted,
@@ -54,4 +60,5 @@
     "RequestEnded",
     "RequestsEnded",
     "StoreRestored",
+    "StreamResumed",
 ]
--- a/libs/gateway/src/balsamspoke_gateway/observing/requests.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing/requests.py
@@ -41,6 +41,8 @@
         Ids of the parts of the prompt that other requests may share.
     fingerprint : str
         The same for requests of one team with the same content.
+    software_version : str
+        Version of the replica's software; empty if not known.
     """
 
     request: str
@@ -56,6 +58,33 @@
     version: int | None
     prompt_parts: tuple[str, ...] = ()
     fingerprint: str = ""
+    software_version: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class StreamResumed:
+    """A stream goes on at a replica after its connection had broken.
+
+    Attributes
+    ----------
+    request : str
+        Id of the caller's request.
+    resumed_request : str
+        Id of the caller's request that brought the stream's first event; the same id if
+        the stream goes on within one answer; empty if not known.
+    replica : str
+        Id of the replica at which the stream goes on.
+    software_version : str
+        Version of that replica's software.
+    last_event : int
+        Id of the last event before the break.
+    """
+
+    request: str
+    resumed_request: str
+    replica: str
+    software_version: str
+    last_event: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/balsamspoke_gateway/replicas.py
+++ b/libs/gateway/src/balsamspoke_gateway/replicas.py
@@ -54,6 +54,8 @@
         Whether the replica gets no new requests.
     models : tuple of HeldModel
         Models that it held when it last wrote its entry.
+    software_version : str
+        Version of its software; empty if not known. Several may serve side by side.
     """
 
     id: str
@@ -65,6 +67,7 @@
     slots: int
     is_leaving: bool = False
     models: tuple[HeldModel, ...] = ()
+    software_version: str = ""
 
     @property
     def address(self):
--- a/libs/gateway/src/balsamspoke_gateway/requests.py
+++ b/libs/gateway/src/balsamspoke_gateway/requests.py
@@ -93,6 +93,9 @@
         Tokens to charge against the team's limit; None if the request does not say.
     last_event_id : int or None
         Id of the last stream event that the caller has; the answer continues after it.
+    resumed_id : str or None
+        Id of the caller's earlier attempt that brought the first event of the stream
+        that this one resumes; None if it names none.
     """
 
     id: str
@@ -107,6 +110,7 @@
     prompt: Prompt | None = None
     token_cost: int | None = None
     last_event_id: int | None = None
+    resumed_id: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/tests/test_forwarding.py
+++ b/libs/gateway/tests/test_forwarding.py
@@ -17,7 +17,7 @@
     UnknownRoute,
 )
 from balsamspoke_gateway.messages import ReplicaState
-from balsamspoke_gateway.observing import AttemptEnded
+from balsamspoke_gateway.observing import AttemptEnded, StreamResumed
 from balsamspoke_gateway.replicas import HeldModel
 from balsamspoke_gateway.startup import MAX_STARTUP_WAIT, StartupGate
 from hypothesis import given
@@ -211,6 +211,10 @@
         (first, _), (second, request) = self.world.client.sent
         self.assertNotEqual(first, second)
         self.assertEqual(request.last_event_id, 2)
+        resumed = [
+            e for e in self.world.observer.events if isinstance(e, StreamResumed)
+        ]
+        self.assertEqual(resumed, [StreamResumed("id-1", "id-1", second, "", 2)])
 
     def test_tells_the_shared_prompt_parts_of_each_attempt(self):
         self.script_both(Answer(pieces=EVENTS))
--- a/libs/transport/src/balsamspoke_transport/logs.py
+++ b/libs/transport/src/balsamspoke_transport/logs.py
@@ -14,6 +14,7 @@
     ReplicaCrashed,
     RequestEnded,
     RequestsEnded,
+    StreamResumed,
 )
 from loguru import logger
 
@@ -34,6 +35,8 @@
 # each answer.
 REPEATED_LINE_INTERVAL = timedelta(minutes=1)
 
+# Events of single requests, whose lines are limited in rate.
+_REQUEST_EVENTS = (AttemptEnded, RequestEnded, ReplicaCrashed, StreamResumed)
 _LEVELS = {DependencyLost: "WARNING", ProgramFailed: "ERROR"}
 
 
@@ -145,7 +148,7 @@
                 return
         if isinstance(event, HeaderUnreadable) and not self._is_due(event):
             return
-        is_request = isinstance(event, (AttemptEnded, RequestEnded, ReplicaCrashed))
+        is_request = isinstance(event, _REQUEST_EVENTS)
         if not is_request or self._take_line():
             self._write(event)
         elif (
