--- a/libs/gateway/tests/engine_fleet.py
+++ b/libs/gateway/tests/engine_fleet.py
@@ -149,7 +149,8 @@
         if CRASHING_PART in list_parts(caller) or caller.body == CRASHING_BODY:
             self.fleet.call_later(CRASH_DELAY, self._crash_by, exchange)
         else:
-            self.fleet.call_later(CRASH_DELAY, self._write_event, exchange, 1)
+            next_event = 1 + (exchange.request.last_event_id or 0)
+            self.fleet.call_later(CRASH_DELAY, self._write_event, exchange, next_event)
 
     def _write_event(self, exchange, number):
         if exchange.is_ended:
@@ -159,7 +160,8 @@
             exchange.is_ended = True
             exchange.supply(b"")
             return
-        exchange.supply(b"id: %d\ndata: x\n\n" % number)
+        version = self.record.software_version.encode()
+        exchange.supply(b"id: %d\ndata: %s\n\n" % (number, version))
         self.fleet.call_later(EVENT_INTERVAL, self._write_event, exchange, number + 1)
 
     def _crash_by(self, exchange):
@@ -177,7 +179,7 @@
 
     def _start_again(self):
         old = self.record
-        self.record = self.fleet.make_engine_record(old.ip)
+        self.record = self.fleet.make_engine_record(old.ip, old.software_version)
         self.is_up = True
         self.fleet.store.write("replicas", old.id, None)
         self.fleet.store.write("replicas", self.record.id, self.record)
@@ -190,10 +192,18 @@
         self._fleet = fleet
         self._entry = entry
         self._limits_known_at = {}
+        self._exchanges = []
+
+    def reset_connections(self):
+        """End all exchanges, as at the end of the process."""
+        for exchange in self._exchanges:
+            exchange.abort()
+        self._exchanges.clear()
 
     def send(self, record, request):
         engine = self._fleet.engines[record.ip]
         exchange = EngineExchange(engine, request, self._limits_known_at)
+        self._exchanges.append(exchange)
         if not engine.is_up or engine.record.id != record.id:
             exchange.break_off(NotSent("connection refused"))
             return exchange
@@ -226,7 +236,8 @@
             self._fleet.call_later(NETWORK_DELAY, self._deliver, ip, message)
 
     def _deliver(self, ip, message):
-        self._fleet.entries[ip].core.receive_message(self._ip, message)
+        if ip in self._fleet.entries:
+            self._fleet.entries[ip].core.receive_message(self._ip, message)
 
 
 class EngineFleet:
@@ -238,6 +249,8 @@
         Numbers of entry processes and of engines.
     service : str
         Service of the engines: ``engines``, or ``plain`` for one without prompts.
+    versions : sequence of str
+        Software versions, which the engines have in turn.
 
     Attributes
     ----------
@@ -253,7 +266,7 @@
         Whether messages between entry processes are lost.
     """
 
-    def __init__(self, entries=4, engines=6, service="engines"):
+    def __init__(self, entries=4, engines=6, service="engines", versions=("v1",)):
         self._service = service
         self.time = VirtualTime()
         self.store = FakeStore()
@@ -264,7 +277,8 @@
         self.loses_messages = False
         self._numbers = itertools.count(1)
         for number in range(1, engines + 1):
-            record = self.make_engine_record(f"10.0.0.{number}")
+            version = versions[number % len(versions)]
+            record = self.make_engine_record(f"10.0.0.{number}", version)
             self.engines[record.ip] = Engine(self, record)
             self.store.write("replicas", record.id, record)
         for number in range(1, entries + 1):
@@ -279,17 +293,28 @@
         """Schedule a call after a number of seconds."""
         self.time.schedule(self.time.elapsed + seconds(delay), function, *arguments)
 
-    def make_engine_record(self, ip):
+    def make_engine_record(self, ip, software_version="v1"):
         """Return the entry of an engine that has just started."""
         number = next(self._numbers)
         return make_record(
-            f"engine-{number}", self._service, int(ip.rpartition(".")[2]), born=number
+            f"engine-{number}",
+            self._service,
+            int(ip.rpartition(".")[2]),
+            born=number,
+            software_version=software_version,
         )
 
     def make_loss_error(self):
         """Return the error of an exchange whose engine has crashed."""
         return ConnectionLost("connection lost")
 
+    def kill_entry(self, ip):
+        """End an entry process with all its connections; return its EntryWorld."""
+        world = self.entries.pop(ip)
+        world.clock.kill()
+        world.context.client.reset_connections()
+        return world
+
     def start_entry(self, ip):
         """Start an entry process, in place of an earlier one at its address."""
         if ip in self.entries:
--- a/libs/gateway/tests/world.py
+++ b/libs/gateway/tests/world.py
@@ -379,6 +379,7 @@
         body=None,
         parts=(),
         has_prompt=True,
+        request_id="id-1",
         **others,
     ):
         """Start a request on a route; return its RecordedSink and its Deferred.
@@ -401,6 +402,8 @@
             Ids of the parts of the prompt, in order.
         has_prompt : bool
             Whether a request for a stream names a model and a prompt.
+        request_id : str
+            Id of the request.
         **others
             Further fields of the CallerRequest.
         """
@@ -411,7 +414,7 @@
             prompt_parts = tuple(PromptPart(part, 10) for part in parts)
             prompt = Prompt(AdapterName(MODEL, adapter), tokens, 50, prompt_parts)
         request = CallerRequest(
-            "id-1",
+            request_id,
             b"POST",
             f"/{route}/x".encode(),
             HOST,
