Let streams go on only at the software version that began them

Cause: any replica of the service could resume a stream, within one answer as well as for a caller that took its stream up at another process; nothing read the version. A process must also know of streams that began elsewhere.

Now a stream keeps its version over its attempts. At its first event the process tells two others, chosen by rendezvous hashing of the request's id, and a process that a caller comes back to asks three when it doesn't know the stream. Nothing is sent while all replicas have had one version for as long as a stream may be resumed and the store is heard: then the one version is right, and running streams are announced as soon as a second one appears. A process that can't know (cut off, just started, all holders gone) refuses within 100 ms, and at once where no replica has the version any more.

--- a/libs/gateway/src/balsamspoke_gateway/configuration.py
+++ b/libs/gateway/src/balsamspoke_gateway/configuration.py
@@ -89,6 +89,10 @@
             return self.is_resumable
         return self.kind is RequestKind.SAFE
 
+    def leads_to(self, service):
+        """Return whether requests may be sent to a service, given by name."""
+        return any(each.service == service for each in self.services)
+
     def choose_service(self, draw):
         """Return the name of a service for a random number in [0, 1)."""
         remaining = draw * sum(each.weight for each in self.services)
@@ -228,6 +232,8 @@
         Teams; if there are none, requests need no key.
     caller_limits : CallerLimits
         Limits on callers.
+    longest_resumable_timeout : timedelta
+        Longest timeout of the routes whose streams may be resumed; 0 if there is none.
     """
 
     version: int
@@ -235,6 +241,7 @@
     services: tuple[Service, ...]
     teams: tuple[Team, ...] = ()
     caller_limits: CallerLimits = CallerLimits()
+    longest_resumable_timeout: timedelta = field(init=False, repr=False, compare=False)
     _routes_by_host: dict = field(init=False, repr=False, compare=False)
     _services_by_name: dict = field(init=False, repr=False, compare=False)
     _teams_by_key: dict = field(init=False, repr=False, compare=False)
@@ -245,6 +252,9 @@
             routes.setdefault(route.host, {})[route.path_prefix] = route
         services = {service.name: service for service in self.services}
         teams = {key: team for team in self.teams for key in team.keys}
+        timeouts = [route.timeout for route in self.routes if route.is_resumable]
+        longest = max(timeouts, default=timedelta(0))
+        object.__setattr__(self, "longest_resumable_timeout", longest)
         object.__setattr__(self, "_routes_by_host", routes)
         object.__setattr__(self, "_services_by_name", services)
         object.__setattr__(self, "_teams_by_key", teams)
--- a/libs/gateway/src/balsamspoke_gateway/context.py
+++ b/libs/gateway/src/balsamspoke_gateway/context.py
@@ -25,6 +25,7 @@
 from .retries import RetryBudget
 from .settings import GatewaySettings
 from .startup import StartupGate
+from .stream_versions import StreamVersionCoordinator
 from .versions import AdapterVersions
 
 
@@ -66,6 +67,8 @@
         Refuses prompts that crash replicas.
     rate_limiting : RateLimitCoordinator
         Keeps the rate limits that replicas name.
+    stream_versions : StreamVersionCoordinator
+        Knows at which software version streams have started.
     catching_up : CatchingUp
         Compares the configuration of a new process with that of its peers.
     startup : StartupGate
@@ -101,6 +104,7 @@
     admission_client: AdmissionClient = field(init=False)
     quarantine: QuarantineCoordinator = field(init=False)
     rate_limiting: RateLimitCoordinator = field(init=False)
+    stream_versions: StreamVersionCoordinator = field(init=False)
     startup: StartupGate = field(init=False)
     configuration: Configuration | None = None
     peer_ips: list[str] = field(default_factory=list)
@@ -115,6 +119,7 @@
         self.catching_up.start(self.clock.monotonic())
         self.quarantine = QuarantineCoordinator(self)
         self.rate_limiting = RateLimitCoordinator(self)
+        self.stream_versions = StreamVersionCoordinator(self)
         self.startup = StartupGate(self.clock)
 
     @property
--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -92,6 +92,10 @@
         """Return the number of replicas that name a rate limit."""
         return self.context.fleet.rate_limits.count()
 
+    def count_streams(self):
+        """Return the number of streams of which the software version is known."""
+        return self.context.stream_versions.count_records()
+
     def count_silent_peers(self):
         """Return the number of peers that are silent but may still serve requests."""
         context = self.context
@@ -108,6 +112,7 @@
 
     def start(self):
         """Start to follow the store and to exchange messages; return at once."""
+        self.context.stream_versions.start(self._store_view.reachability)
         self._store_view.start()
         self._maintain_replicas()
         self._send_usage()
@@ -144,7 +149,10 @@
             self._receive_usage(ip, message)
         elif isinstance(message, ReplicaLeaving):
             context.record_leaving(message.replica, message.born, "a peer says so")
-        elif not context.rate_limiting.receive(ip, message):
+        elif not (
+            context.rate_limiting.receive(ip, message)
+            or context.stream_versions.receive(ip, message)
+        ):
             context.quarantine.receive(ip, message)
 
     def _receive_state(self, ip, state):
@@ -183,6 +191,7 @@
 
     def _maintain_replicas(self):
         context = self.context
+        context.stream_versions.refresh()
         now = context.clock.monotonic()
         for replica_id in context.fleet.directory.expire(now):
             reason = "still missing after the store recovered"
--- a/libs/gateway/src/balsamspoke_gateway/exceptions.py
+++ b/libs/gateway/src/balsamspoke_gateway/exceptions.py
@@ -58,6 +58,10 @@
     """No replica could start the request in time."""
 
 
+class StreamNotResumable(RequestRefused):
+    """A stream can't go on here: a suitable replica is not known, or doesn't exist."""
+
+
 class PromptQuarantined(RequestRefused):
     """The request, or a part of its prompt, crashes the replicas which answer it."""
 
--- a/libs/gateway/src/balsamspoke_gateway/fleet.py
+++ b/libs/gateway/src/balsamspoke_gateway/fleet.py
@@ -103,12 +103,14 @@
         """
         self._misdirected[record.id] = record
 
-    def predict_model_wait(self, service):
+    def predict_model_wait(self, service, software_version=None):
         """Return the timedelta until a replica of a service holds its model.
 
-        It is the shortest one of those that are loading; None if none is.
+        It is the shortest one of those that are loading; None if none is. Only
+        replicas of the software version count, if one is given.
         """
-        states = map(self.find_state, self.directory.list_service(service))
+        records = self.directory.list_service(service, software_version)
+        states = map(self.find_state, records)
         waits = [
             timedelta(seconds=state.model_wait)
             for state in states
@@ -140,7 +142,7 @@
             return None
         return self._clock.monotonic() - self._states[record.ip].received_at
 
-    def list_candidates(self, service, model, excluded_replicas):
+    def list_candidates(self, service, model, excluded_replicas, software_version=None):
         """Return the Candidates of a service; unhealthy ones only if no other is left.
 
         Replicas that asked for a backoff, or for which this process has to wait for
@@ -154,9 +156,11 @@
             Base model that the request needs.
         excluded_replicas : set of str
             Ids of the replicas that the request is not sent to again.
+        software_version : str or None
+            Software version that the replicas must have; None for any.
         """
         now = self._clock.monotonic()
-        records = self.directory.list_service(service)
+        records = self.directory.list_service(service, software_version)
         records = [
             each
             for each in records
@@ -178,13 +182,14 @@
         current = self.directory.find(record.id)
         return current is not None and not current.is_leaving
 
-    def find_hold_left(self, service):
+    def find_hold_left(self, service, software_version=None):
         """Return the time until the first replica of a service may get requests.
 
-        The result is None if one does already, or if there is none.
+        The result is None if one does already, or if there is none. Only replicas of
+        the software version count, if one is given.
         """
         now = self._clock.monotonic()
-        records = self.directory.list_service(service)
+        records = self.directory.list_service(service, software_version)
         times_left = [self._find_hold_left(each, now) for each in records]
         if not times_left or None in times_left:
             return None
--- a/libs/gateway/src/balsamspoke_gateway/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding.py
@@ -18,12 +18,14 @@
     OutcomeUnknown,
     PromptQuarantined,
     RequestRefused,
+    StreamNotResumable,
     TimedOut,
 )
 from .observing import ANSWERED, AttemptEnded, RequestEnded
 from .progress import Progress
 from .quarantine import make_fingerprint
 from .selection import BUSY_RETRY_AFTER, ReplicaSelection
+from .stream_versions import StreamOrigin
 
 # Failed attempts after which a request is given up, even if the retry budget allows
 # more. Attempts that could not connect to a replica do not count.
@@ -82,6 +84,7 @@
         try:
             await self.context.startup.wait()
             self._admit()
+            await self._find_stream_origin()
             await self._forward()
             self._report_end(ANSWERED)
         except RequestRefused as error:
@@ -96,6 +99,8 @@
             # A bug must not leave the caller without an answer.
             self.context.report_bug(Failure())
             self._finish_with_error(OutcomeUnknown("internal error"), self.sink.fail)
+        finally:
+            self.context.stream_versions.record_end(self.team_name, self.request.id)
 
     def time_left(self):
         """Return the timedelta until the request's deadline."""
@@ -130,6 +135,33 @@
                 request.prompt.target, self.started_at
             )
 
+    async def _find_stream_origin(self):
+        """Restrict a stream that the caller resumes to the software that began it."""
+        if not self.is_stream or self.request.last_event_id is None:
+            return
+        origin = await self.context.stream_versions.find(
+            self.team_name, self.request.resumed_id, self.service
+        )
+        if origin is None:
+            reason = "not known here which software version began the stream"
+            raise StreamNotResumable(reason, NO_DELAY)
+        if not self.route.leads_to(origin.service):
+            reason = f"the route no longer leads to {origin.service}"
+            raise StreamNotResumable(reason)
+        self.service = origin.service
+        self.progress.software_version = origin.version
+
+    def record_first_event(self, record):
+        """Record the replica (ReplicaRecord) that brings the stream's first event."""
+        if self.progress.software_version is not None:
+            return
+        self.progress.software_version = record.software_version
+        if self.route.is_idempotent:
+            origin = StreamOrigin(record.service, record.software_version)
+            self.context.stream_versions.record_start(
+                self.team_name, self.request.id, origin
+            )
+
     def _charge(self):
         if self.team is None:
             return
@@ -249,9 +281,7 @@
     @cached_property
     def fingerprint(self):
         """Text by which the request is recognised if it is sent again."""
-        return make_fingerprint(
-            self.request, "" if self.team is None else self.team.name
-        )
+        return make_fingerprint(self.request, self.team_name)
 
     @property
     def parts(self):
@@ -269,11 +299,18 @@
     def choose_attempt_timeout(self):
         """Return the time limit of an attempt until its answer or first event."""
         time_left = self.time_left()
-        replicas = self.context.fleet.directory.list_service(self.service)
+        replicas = self.context.fleet.directory.list_service(
+            self.service, self.progress.software_version
+        )
         if not self._has_runs_remaining or len(replicas) < 2:
             return time_left
         return min(time_left, OVERDUE_OBJECTIVES * self.route.objective)
 
+    @property
+    def team_name(self):
+        """Name of the caller's team; empty if there is none."""
+        return "" if self.team is None else self.team.name
+
     @property
     def priority(self):
         """Priority of the request; 0 is the most urgent."""
@@ -315,7 +352,7 @@
             RequestEnded(
                 self.request.id,
                 "" if self.route is None else self.route.name,
-                "" if self.team is None else self.team.name,
+                self.team_name,
                 outcome,
                 reason,
                 self.sink.status,
--- a/libs/gateway/src/balsamspoke_gateway/placement.py
+++ b/libs/gateway/src/balsamspoke_gateway/placement.py
@@ -6,10 +6,9 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-import xxhash
-
 from .adapter_load_times import INITIAL_LOAD_TIME
 from .loads import ReplicaLoad
+from .rendezvous import compute_weight
 from .replicas import ReplicaRecord
 from .requests import AdapterName, Prompt
 
@@ -136,7 +135,7 @@
     """
     return sorted(
         candidates,
-        key=lambda each: xxhash.xxh32_intdigest(f"{key}/{each.record.id}".encode()),
+        key=lambda each: compute_weight(key, each.record.id),
     )
 
 
--- a/libs/gateway/src/balsamspoke_gateway/progress.py
+++ b/libs/gateway/src/balsamspoke_gateway/progress.py
@@ -18,6 +18,9 @@
         Attempts that were sent and then refused by the replica, lost or overdue.
     last_event_id : int or None
         Id of the last stream event that the caller has.
+    software_version : str or None
+        Software version of the replica that began the stream, at which alone it may go
+        on; None as long as there is no event.
     first_event_at : timedelta or None
         Monotonic time at which the first event was forwarded to the caller.
     awaited_replica : str or None
@@ -30,6 +33,7 @@
     possible_runs: int = 0
     failed_attempts: int = 0
     last_event_id: int | None = None
+    software_version: str | None = None
     first_event_at: timedelta | None = None
     awaited_replica: str | None = None
     adapter_timeouts: int = 0
--- a/libs/gateway/src/balsamspoke_gateway/rate_limiting/issuers.py
+++ b/libs/gateway/src/balsamspoke_gateway/rate_limiting/issuers.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-import xxhash
+from ..rendezvous import compute_weight
 
 # Consecutive requests without a reply after which another process is asked, for a time
 # that lets this process learn whether the one before has ended.
@@ -36,7 +36,7 @@
         usable = [each for each in heard if not self._is_avoided(each, now)]
         return max(
             [self._own_ip, *usable],
-            key=lambda ip: xxhash.xxh32_intdigest(f"{replica_id}/{ip}".encode()),
+            key=lambda ip: compute_weight(replica_id, ip),
         )
 
     def record_reply(self, ip):
--- a/libs/gateway/src/balsamspoke_gateway/replicas.py
+++ b/libs/gateway/src/balsamspoke_gateway/replicas.py
@@ -92,6 +92,7 @@
         self._leaving = OrderedDict()
         self._gone = OrderedDict()
         self._by_service = {}
+        self._versions = frozenset()
         self._missing = set()
         self._grace_until = None
 
@@ -173,9 +174,26 @@
         """Return the ReplicaRecord with an id, or None."""
         return self._records.get(replica_id)
 
-    def list_service(self, service):
-        """Return the ReplicaRecords of a service that are not leaving."""
-        return self._by_service.get(service, ())
+    def list_service(self, service, software_version=None):
+        """Return the ReplicaRecords of a service that are not leaving.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        software_version : str or None
+            Software version that they must have; None for any.
+        """
+        records = self._by_service.get(service, ())
+        if software_version is None:
+            return records
+        return tuple(
+            each for each in records if each.software_version == software_version
+        )
+
+    def list_versions(self):
+        """Return the set of (service, software version) of all ReplicaRecords."""
+        return self._versions
 
     def list_all(self):
         """Return all ReplicaRecords, including leaving ones."""
@@ -221,3 +239,6 @@
             if not record.is_leaving:
                 found.setdefault(record.service, []).append(record)
         self._by_service = {name: tuple(each) for name, each in found.items()}
+        self._versions = frozenset(
+            (each.service, each.software_version) for each in self._records.values()
+        )
--- a/libs/gateway/src/balsamspoke_gateway/selection.py
+++ b/libs/gateway/src/balsamspoke_gateway/selection.py
@@ -11,6 +11,7 @@
     NoReplica,
     OutcomeUnknown,
     Overloaded,
+    StreamNotResumable,
     TimedOut,
 )
 from .placement import Choice, EngineRequirements, choose_engine, choose_plain
@@ -80,7 +81,10 @@
         fleet = self._context.fleet
         model = None if prompt is None else prompt.target.model
         candidates = fleet.list_candidates(
-            self._forwarding.service, model, self._progress.excluded_replicas
+            self._forwarding.service,
+            model,
+            self._progress.excluded_replicas,
+            self._progress.software_version,
         )
         if not candidates:
             raise self._make_unavailable_error()
@@ -116,7 +120,10 @@
         if self._progress.possible_runs:
             return OutcomeUnknown("no other replica can take the request")
         service = self._forwarding.service
-        hold_left = self._context.fleet.find_hold_left(service)
+        version = self._progress.software_version
+        if version is not None and not self._list_replicas():
+            return StreamNotResumable(f"no replica of {service} has version {version}")
+        hold_left = self._context.fleet.find_hold_left(service, version)
         if hold_left is not None:
             # The jitter keeps the callers from returning all at once.
             delay = hold_left + HOLD_RETRY_SPREAD * self._context.draw()
@@ -124,7 +131,7 @@
                 f"all replicas of {service} asked for a backoff or are rate limited"
             )
             return NoReplica(reason, delay)
-        model_wait = self._context.fleet.predict_model_wait(service)
+        model_wait = self._context.fleet.predict_model_wait(service, version)
         if model_wait is None:
             return NoReplica(f"no replica of {service}", BUSY_RETRY_AFTER)
         # The jitter keeps the callers from returning all at once.
@@ -133,6 +140,12 @@
             f"{service} is loading its model", max(BUSY_RETRY_AFTER, delay)
         )
 
+    def _list_replicas(self):
+        """Return the ReplicaRecords that the request may be sent to in principle."""
+        return self._context.fleet.directory.list_service(
+            self._forwarding.service, self._progress.software_version
+        )
+
     def _check_wait(self, choice):
         """Raise Overloaded if the predicted wait is too long for the latency objective.
 
--- a/libs/gateway/src/balsamspoke_gateway/store_view.py
+++ b/libs/gateway/src/balsamspoke_gateway/store_view.py
@@ -169,6 +169,7 @@
         self._context.fleet.directory.record_store_recovery(
             self._context.clock.monotonic()
         )
+        self._context.stream_versions.record_gap()
 
     def _apply_configurations(self, page, is_full_list):
         context = self._context
@@ -184,6 +185,12 @@
                 self._open_if_ready()
 
     def _apply_replicas(self, page, is_full_list):
+        self._context.stream_versions.refresh()
+        self._change_replicas(page, is_full_list)
+        self._context.stream_versions.refresh()
+        self._open_if_ready()
+
+    def _change_replicas(self, page, is_full_list):
         directory = self._context.fleet.directory
         now = self._context.clock.monotonic()
         if is_full_list:
@@ -192,7 +199,6 @@
             listed = ReplicasListed(len(records), page.position.revision)
             self._context.observer.observe(listed)
             self._on_change()
-            self._open_if_ready()
             return
         for change in page.changes:
             self._report_record_change(change)
@@ -200,7 +206,6 @@
                 directory.remove(change.name, now)
             else:
                 directory.put(change.record)
-        self._open_if_ready()
 
     def _adopt_replicas(self, records, era, now):
         directory = self._context.fleet.directory
--- a/libs/gateway/tests/test_resumed_streams.py
+++ b/libs/gateway/tests/test_resumed_streams.py
@@ -8,21 +8,26 @@
     """Streams of which each must hold events of one software version."""
 
     def play(self, seed, entries=4, versions=("v1", "v2")):
-        """Return the ResumingTraffic of a day with crashes, a kill and resets."""
+        """Return the ResumingTraffic of a day with crashes, kills and resets."""
         fleet = EngineFleet(entries, versions=versions)
         fleet.pass_time(3)
+        struck = max(1, entries // 3)
+        killed = [f"10.0.1.{number}" for number in range(1, struck + 1)]
         traffic = ResumingTraffic(fleet, seed)
         traffic.run(2)
         fleet.engines["10.0.0.1"].crash()
         traffic.run(0.5)
         if entries > 1:
-            traffic.kill_entry("10.0.1.1")
+            for ip in killed:
+                traffic.kill_entry(ip)
             traffic.run(0.5)
-            fleet.start_entry("10.0.1.1")
+            for ip in killed:
+                fleet.start_entry(ip)
         traffic.run(2)
         fleet.engines["10.0.0.2"].crash()
         traffic.run(0.1)
-        traffic.reset_connections(f"10.0.1.{entries}")
+        for number in range(struck):
+            traffic.reset_connections(f"10.0.1.{entries - number}")
         traffic.run(1)
         fleet.pass_time(5)
         return traffic
--- a/libs/transport/src/balsamspoke_transport/datagrams.py
+++ b/libs/transport/src/balsamspoke_transport/datagrams.py
@@ -19,6 +19,11 @@
     PermitRequest,
     RateLimitNotice,
 )
+from balsamspoke_gateway.stream_versions import (
+    StreamOriginQuery,
+    StreamOriginReply,
+    StreamStarted,
+)
 from loguru import logger
 from msgspec import DecodeError, ValidationError, msgpack
 from twisted.internet.protocol import DatagramProtocol
@@ -40,6 +45,9 @@
     RateLimitNotice: 12,
     PermitRequest: 13,
     PermitReply: 14,
+    StreamStarted: 15,
+    StreamOriginQuery: 16,
+    StreamOriginReply: 17,
 }
 _DECODERS = {number: msgpack.Decoder(kind) for kind, number in _TYPE_NUMBERS.items()}
 
