--- a/libs/gateway/tests/engine_fleet.py
+++ b/libs/gateway/tests/engine_fleet.py
@@ -2,6 +2,7 @@
 
 import itertools
 from dataclasses import dataclass
+from datetime import timedelta
 
 from balsamspoke_fakes import VirtualTime
 from balsamspoke_gateway.exceptions import ConnectionLost, NotSent
@@ -45,6 +46,16 @@
     limit_known_at: float | None = None
 
 
+@dataclass(frozen=True)
+class RequestedBackoff:
+    """A time for which an engine wants nothing from an entry process, in seconds."""
+
+    entry: str
+    replica: str
+    told_at: float
+    ends_at: float
+
+
 def list_parts(caller_request):
     """Return the ids of the prompt parts that a CallerRequest may share."""
     prompt = caller_request.prompt
@@ -92,6 +103,13 @@
             )
         )
 
+    def refuse(self, retry_after):
+        """Supply the head of a refusal that asks for a backoff, without a body."""
+        self.is_ended = True
+        self._pieces.append(b"")
+        head = ReplicaAnswer(503, (), False, False, True, retry_after=retry_after)
+        self._head.callback(head)
+
     def supply(self, piece):
         """Supply a piece of the body; empty at its end."""
         reader, self._reader = self._reader, None
@@ -124,6 +142,8 @@
         EngineExchanges without a complete answer, in the order of their arrival.
     rate_limit : float or None
         Requests a second that it names as its limit.
+    backoff : timedelta or None
+        Time that it asks for as it refuses all requests; None if it takes them.
     """
 
     def __init__(self, fleet, record):
@@ -132,11 +152,25 @@
         self.is_up = True
         self.running = {}
         self.rate_limit = None
+        self.backoff = None
 
-    def run(self, exchange):
+    def run(self, exchange, entry):
+        if self.backoff is not None:
+            self.fleet.call_later(NETWORK_DELAY, self._refuse, exchange, entry)
+            return
         self.running[exchange] = None
         self.fleet.call_later(START_DELAY, self._begin, exchange)
 
+    def _refuse(self, exchange, entry):
+        if exchange.is_ended:
+            return
+        backoff = self.backoff or timedelta(0)
+        told_at = self.fleet.seconds
+        ends_at = told_at + backoff.total_seconds()
+        requested = RequestedBackoff(entry, self.record.id, told_at, ends_at)
+        self.fleet.backoffs.append(requested)
+        exchange.refuse(backoff)
+
     def _begin(self, exchange):
         if exchange.is_ended:
             return
@@ -217,7 +251,7 @@
                 self._limits_known_at.get(record.id),
             )
         )
-        engine.run(exchange)
+        engine.run(exchange, self._entry)
         return exchange
 
     def is_refusing(self, record):
@@ -256,6 +290,8 @@
     ----------
     arrivals : list of Arrival
         Requests that reached an engine.
+    backoffs : list of RequestedBackoff
+        Backoffs that engines have asked for.
     crashes : list of float
         Times of the engines' crashes, in seconds.
     engines : dict
@@ -271,6 +307,7 @@
         self.time = VirtualTime()
         self.store = FakeStore()
         self.arrivals = []
+        self.backoffs = []
         self.crashes = []
         self.engines = {}
         self.entries = {}
