Keep a replica's backoff while its entry in the store is missing

A replica that had asked for a backoff got requests in that time if its entry lapsed and came back, as it does when the replica or the store falters: whoever lost its entry lost its backoff. Cause: what a process remembers of a replica's wish was dropped with the list of replicas, which is another source and may be wrong for seconds. A backoff now ends by its own time alone, so its memory stays bounded.

--- a/libs/gateway/src/balsamspoke_gateway/fleet.py
+++ b/libs/gateway/src/balsamspoke_gateway/fleet.py
@@ -197,11 +197,12 @@
 
     def remove_unlisted(self):
         """Drop the state of replicas that are no longer in the directory."""
+        now = self._clock.monotonic()
+        self.backoffs.expire(now)
+        self.permit_waits.expire(now)
         listed = {record.id for record in self.directory.list_all()}
         self.health.retain(listed)
-        self.backoffs.retain(listed)
         self.rate_limits.retain(listed)
-        self.permit_waits.retain(listed)
         for replica_id in set(self._loads) - listed:
             if self._loads[replica_id].in_flight == 0:
                 del self._loads[replica_id]
--- a/libs/gateway/src/balsamspoke_gateway/holds.py
+++ b/libs/gateway/src/balsamspoke_gateway/holds.py
@@ -41,7 +41,13 @@
         end = self._ends.get((record.id, record.born))
         return None if end is None or end <= now else end - now
 
-    def retain(self, replica_ids):
-        """Forget all replicas but the given ones (by id)."""
-        for key in [key for key in self._ends if key[0] not in replica_ids]:
+    def expire(self, now):
+        """Forget the holds that are over at a monotonic time.
+
+        The hold of a replica whose entry was removed goes on: it may be back soon.
+        """
+        for key in [key for key, end in self._ends.items() if end <= now]:
             del self._ends[key]
+
+    def __len__(self):
+        return len(self._ends)
