Leave a replica alone for as many minutes as it asks for

A replica that asked for a backoff of more than a minute got requests after a minute, and again each minute: 3 of one process in the first 200 s of 300, where 2 may come. The bound is there for times that make no sense; minutes are usual in Retry-After.

--- a/libs/gateway/src/balsamspoke_gateway/holds.py
+++ b/libs/gateway/src/balsamspoke_gateway/holds.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 # Longest time for which a replica is left alone. It limits what a wrong answer costs.
-MAX_HOLD = timedelta(minutes=1)
+MAX_HOLD = timedelta(minutes=10)
 
 
 class ReplicaHolds:
