Let side processes leave their replica alone for as long as it asks

A replica that answers a report or an order with 503 and Retry-After wants nothing from that machine for so long; its side process went on with a call each 150 ms, logged as an unreadable report. Cause: only answers to callers' requests were read for it. The control client raises ReplicaBusy now, and the side process waits out the time, whatever is wanted meanwhile, and logs BackoffRequested.

--- a/libs/gateway/src/balsamspoke_gateway/exceptions.py
+++ b/libs/gateway/src/balsamspoke_gateway/exceptions.py
@@ -93,6 +93,20 @@
     """The replica's connection ended before its answer did; it may have crashed."""
 
 
+class ReplicaBusy(AttemptError):
+    """The replica refused a call, and wants none for a time.
+
+    Attributes
+    ----------
+    retry_after : timedelta
+        The time that it asked for.
+    """
+
+    def __init__(self, retry_after):
+        super().__init__(f"refused, with a backoff of {retry_after.total_seconds()} s")
+        self.retry_after = retry_after
+
+
 class AnswerOverdue(AttemptError):
     """The replica did not answer within the time limit of the attempt."""
 
--- a/libs/gateway/src/balsamspoke_gateway/observing/replicas.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing/replicas.py
@@ -46,7 +46,7 @@
     Attributes
     ----------
     replica : str
-        Id of the replica.
+        Id of the replica; ``replica`` at the side process on its VM.
     duration : timedelta
         The time that it asked for.
     """
--- a/libs/gateway/src/balsamspoke_gateway/ports.py
+++ b/libs/gateway/src/balsamspoke_gateway/ports.py
@@ -120,7 +120,8 @@
 class ReplicaControl(ABC):
     """Control interface of the replica beside a side process.
 
-    All calls fail with AttemptError if the replica does not answer.
+    All calls fail with AttemptError if the replica does not answer, and with
+    ReplicaBusy if it asks for a backoff.
     """
 
     @abstractmethod
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from balsamspoke_types.timing import sleep
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
 
@@ -14,10 +15,16 @@
     AdmissionRequest,
     PrefillEnded,
 )
-from .exceptions import AttemptError
+from .exceptions import NO_DELAY, AttemptError, ReplicaBusy
+from .holds import MAX_HOLD
 from .messages import EntryDemand, ReplicaState
 from .model_loads import ModelLoadMonitor
-from .observing import AdaptersRefused, OrderGiven, ProgramFailed
+from .observing import (
+    AdaptersRefused,
+    BackoffRequested,
+    OrderGiven,
+    ProgramFailed,
+)
 from .pacing import MIN_INTERVAL, choose_interval
 from .reachability import Reachability
 
@@ -72,6 +79,7 @@
         self._model_loads = ModelLoadMonitor()
         self._admission = AdmissionController(clock, peers, observer)
         self._refused_adapters = ()
+        self._backoff_ends = clock.monotonic()
 
     @property
     def report_age(self):
@@ -118,6 +126,7 @@
 
     async def _run(self):
         while True:
+            await self._wait_out_backoff()
             try:
                 has_sent_order = await self._step()
             except CancelledError:
@@ -130,6 +139,18 @@
                 ORDER_INTERVAL if has_sent_order else REPORT_INTERVAL
             )
 
+    async def _wait_out_backoff(self):
+        """Leave the replica alone for as long as it asked for, whatever is wanted."""
+        time_left = self._backoff_ends - self._clock.monotonic()
+        if time_left > NO_DELAY:
+            await sleep(self._clock, time_left)
+
+    def _record_backoff(self, error):
+        """Record the time for which the replica wants no calls, from a ReplicaBusy."""
+        duration = min(error.retry_after, MAX_HOLD)
+        self._backoff_ends = self._clock.monotonic() + duration
+        self._observer.observe(BackoffRequested(_REPLICA, error.retry_after))
+
     async def _wait_for_wakeup(self, interval):
         """Wait for an interval, or until ``wake`` is called."""
         waiter = Deferred(lambda each: each.callback(None))
@@ -146,6 +167,9 @@
         """
         try:
             self._report = await self._replica.read_report()
+        except ReplicaBusy as error:
+            self._record_backoff(error)
+            return False
         except AttemptError as error:
             self._reachability.record_failure(error)
             return False
@@ -175,6 +199,9 @@
         self._plan.record_sent_order(order)
         try:
             outcome = await self._replica.send_order(order)
+        except ReplicaBusy as error:
+            self._record_backoff(error)
+            outcome = type(error).__name__
         except AttemptError as error:
             outcome = type(error).__name__
             now = self._clock.monotonic()
