--- a/libs/gateway/tests/engine_fleet.py
+++ b/libs/gateway/tests/engine_fleet.py
@@ -12,7 +12,8 @@
 from twisted.internet.defer import Deferred, fail, succeed
 
 from .entry_world import EntryWorld, FakeStore
-from .world import MODEL, SIGNATURE_HEADERS, make_record, seconds
+from .scripted_replicas import SIGNATURE_HEADERS
+from .world import MODEL, make_record, seconds
 
 CRASHING_PART = "bad"
 CRASHING_BODY = b"bad"
--- a/libs/gateway/tests/test_admission.py
+++ b/libs/gateway/tests/test_admission.py
@@ -29,7 +29,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from .world import Answer, RecordedObserver, RecordedPeers, World, make_record
+from .recorders import RecordedObserver, RecordedPeers
+from .scripted_replicas import Answer
+from .world import World, make_record
 
 RATE_LIMIT = PrefillRateLimit(timedelta(seconds=0.3), 4_500)
 ENTRY = "10.0.1.1"
--- a/libs/gateway/tests/test_backoffs.py
+++ b/libs/gateway/tests/test_backoffs.py
@@ -5,7 +5,8 @@
 from balsamspoke_gateway.holds import MAX_HOLD
 from balsamspoke_gateway.observing import BackoffRequested
 
-from .world import Answer, World, make_record, seconds
+from .scripted_replicas import Answer
+from .world import World, make_record, seconds
 
 
 class BackoffTests(unittest.TestCase):
--- a/libs/gateway/tests/test_leaving.py
+++ b/libs/gateway/tests/test_leaving.py
@@ -6,7 +6,8 @@
 from balsamspoke_gateway.replicas import ReplicaDirectory
 
 from .entry_world import EntryWorld
-from .world import MODEL, Answer, World, make_record, seconds
+from .scripted_replicas import Answer
+from .world import MODEL, World, make_record, seconds
 
 
 class LeavingAnswerTests(unittest.TestCase):
--- a/libs/gateway/tests/test_properties.py
+++ b/libs/gateway/tests/test_properties.py
@@ -16,9 +16,10 @@
 from hypothesis import strategies as st
 from twisted.internet.defer import fail, succeed
 
-from .world import Answer, RecordedObserver, RecordedPeers, World, make_record, seconds
+from .recorders import RecordedObserver, RecordedPeers
+from .scripted_replicas import EVENTS, Answer
+from .world import World, make_record, seconds
 
-EVENTS = [b"id: %d\ndata: x\n\n" % number for number in range(1, 6)]
 WHOLE = b"".join(EVENTS)
 
 # Behaviours of a replica in one attempt, as scripted Answers.
--- a/libs/gateway/tests/test_rate_limits.py
+++ b/libs/gateway/tests/test_rate_limits.py
@@ -5,7 +5,8 @@
 from balsamspoke_gateway.rate_limiting import RateLimitNotice
 from balsamspoke_gateway.rate_limiting.limits import MIN_RATE, ReplicaRateLimits
 
-from .world import Answer, World, make_record, seconds
+from .scripted_replicas import Answer
+from .world import World, make_record, seconds
 
 
 class RateLimitTests(unittest.TestCase):
--- a/libs/gateway/tests/test_replica_beliefs.py
+++ b/libs/gateway/tests/test_replica_beliefs.py
@@ -19,7 +19,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from .entry_world import EntryWorld
-from .world import HOST, Answer, ScriptedClient, make_record, seconds
+from .scripted_replicas import Answer, ScriptedClient
+from .world import HOST, make_record, seconds
 
 PEER = "10.0.1.2"
 RATE = 2.0
--- a/libs/gateway/tests/test_side.py
+++ b/libs/gateway/tests/test_side.py
@@ -14,7 +14,7 @@
 from balsamspoke_gateway.side import SideCore
 from twisted.internet.defer import fail, succeed
 
-from .world import RecordedObserver, RecordedPeers
+from .recorders import RecordedObserver, RecordedPeers
 
 MODEL = "base"
 ENGINE = EngineLimits((EngineModel(MODEL, 10.0),), 20.0, 2, 8)
--- a/libs/gateway/tests/test_stream_versions.py
+++ b/libs/gateway/tests/test_stream_versions.py
@@ -17,9 +17,9 @@
 from hypothesis import strategies as st
 
 from .entry_world import EntryWorld
-from .world import CONFIGURATION, Answer, World, make_record, seconds
+from .scripted_replicas import EVENTS, Answer
+from .world import CONFIGURATION, World, make_record, seconds
 
-EVENTS = [b"id: %d\ndata: x\n\n" % number for number in range(1, 6)]
 PEERS = ["10.0.1.2", "10.0.1.3", "10.0.1.4", "10.0.1.5"]
 V1 = StreamOrigin("engines", "v1")
 KEY = make_stream_key("", "first")
