Tests: the only replica of a stream's version gets all the time

A mutation that no test had seen: an attempt to resume a stream counted replicas of other versions as a way out and was given up after two objectives. The test fails with it.

--- a/libs/gateway/tests/test_stream_versions.py
+++ b/libs/gateway/tests/test_stream_versions.py
@@ -3,7 +3,11 @@
 
 from balsamspoke_fakes.properties import examples
 from balsamspoke_gateway.configuration import WeightedService
-from balsamspoke_gateway.exceptions import OutcomeUnknown, StreamNotResumable
+from balsamspoke_gateway.exceptions import (
+    OutcomeUnknown,
+    StreamNotResumable,
+    TimedOut,
+)
 from balsamspoke_gateway.stream_versions import (
     StreamOrigin,
     StreamOriginQuery,
@@ -102,6 +106,15 @@
         self.assertIsInstance(sink.refusal, StreamNotResumable)
         self.assertIsNone(sink.refusal.retry_after)
 
+    def test_the_only_replica_of_its_version_gets_all_the_time(self):
+        self.versions.receive(PEERS[0], StreamStarted(KEY, "engines", "v1"))
+        self.world.client.script("v1", Answer(is_silent=True))
+        sink = self.resume()
+        self.world.pass_time(4.9)
+        self.assertFalse(sink.is_ended)
+        self.world.pass_time(0.2)
+        self.assertIsInstance(sink.failure, TimedOut)
+
     def test_a_broken_stream_ends_if_its_version_has_gone(self):
         broken = Answer(pieces=EVENTS[:2], breaks=True)
         self.world.client.script("v1", broken)
