Tests: a replica that refuses an order is left alone as long as it asks

A mutation that no test had seen: the backoff asked for in the answer to an order was not heeded. The test fails with it.

--- a/libs/gateway/tests/test_side.py
+++ b/libs/gateway/tests/test_side.py
@@ -6,7 +6,7 @@
 from balsamspoke_fakes import VirtualClock, VirtualTime
 from balsamspoke_gateway.adapters import EngineReport, OrderKind
 from balsamspoke_gateway.configuration import EngineLimits, EngineModel
-from balsamspoke_gateway.exceptions import AnswerLost
+from balsamspoke_gateway.exceptions import AnswerLost, ReplicaBusy
 from balsamspoke_gateway.messages import EntryDemand, ReplicaState, WantedAdapter
 from balsamspoke_gateway.model_loads import ModelLoadMonitor
 from balsamspoke_gateway.observing import AdaptersRefused, ProgramFailed
@@ -113,6 +113,19 @@
         kinds = {type(each) for each in self.observer.events}
         self.assertIn(ProgramFailed, kinds)
 
+    def test_a_replica_that_refuses_an_order_is_left_alone_as_long_as_it_asks(self):
+        busy = fail(ReplicaBusy(seconds(3)))
+        with mock.patch.object(self.control, "send_order", return_value=busy):
+            self.send_demand("a1")
+            self.time.advance(seconds(0.02))
+        with mock.patch.object(self.control, "read_report") as read_report:
+            self.send_demand("a1")
+            self.time.advance(seconds(2.9))
+            read_report.assert_not_called()
+        self.send_demand("a1")
+        self.time.advance(seconds(0.2))
+        self.assertEqual(self.list_states()[-1].models, {MODEL: {"a1": 1}})
+
     def test_loads_a_wanted_adapter_and_reports_it(self):
         self.send_demand("a1")
         self.time.advance(seconds(0.02))
