Don't take a short failure of the store for a gap in which versions went unseen

Cause: each recovery counted as a gap, however short. An outage counts only if the store was silent for longer than is tolerated anyway.

test_also_soon_after_a_short_failure_of_the_store fails where each recovery counts; the test with an outage of 4 s still holds.

--- a/libs/gateway/src/balsamspoke_gateway/reachability.py
+++ b/libs/gateway/src/balsamspoke_gateway/reachability.py
@@ -19,6 +19,12 @@
         Receives DependencyLost and DependencyRegained.
     on_recovery : callable or None
         Called without arguments when the dependency answers again.
+
+    Attributes
+    ----------
+    last_outage : float or None
+        Seconds without an answer before it last recovered; None if it never did, or if
+        it had never answered before.
     """
 
     def __init__(self, name, clock, observer, on_recovery=None):
@@ -28,6 +34,7 @@
         self._on_recovery = on_recovery
         self._is_reachable = True
         self._last_answer = None
+        self.last_outage = None
 
     @property
     def silence(self):
@@ -38,10 +45,12 @@
 
     def record_answer(self):
         """Record that the dependency has answered."""
+        silence = self.silence
         self._last_answer = self._clock.monotonic()
         if self._is_reachable:
             return
         self._is_reachable = True
+        self.last_outage = silence
         if self._on_recovery is not None:
             self._on_recovery()
         self._observer.observe(DependencyRegained(self._name))
--- a/libs/gateway/src/balsamspoke_gateway/store_view.py
+++ b/libs/gateway/src/balsamspoke_gateway/store_view.py
@@ -169,7 +169,7 @@
         self._context.fleet.directory.record_store_recovery(
             self._context.clock.monotonic()
         )
-        self._context.stream_versions.record_gap()
+        self._context.stream_versions.record_recovery()
 
     def _apply_configurations(self, page, is_full_list):
         context = self._context
--- a/libs/gateway/src/balsamspoke_gateway/stream_versions/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/stream_versions/coordinator.py
@@ -86,9 +86,14 @@
         """Return the number of questions without an answer."""
         return len(self._questions)
 
-    def record_gap(self):
-        """Record that replicas may have come and gone unseen until now."""
-        self._history.restart(self._clock.monotonic())
+    def record_recovery(self):
+        """Record that the store answers again.
+
+        After a long outage, replicas may have come and gone unseen.
+        """
+        outage = self._reachability.last_outage
+        if outage is None or outage > MAX_STORE_SILENCE:
+            self._history.restart(self._clock.monotonic())
 
     def refresh(self):
         """Record the versions that the directory lists, and forget what is too old.
--- a/libs/gateway/tests/test_stream_versions.py
+++ b/libs/gateway/tests/test_stream_versions.py
@@ -236,6 +236,13 @@
         self.world.pass_time(4)
         self.assertIsInstance(self.resume().refusal, StreamNotResumable)
 
+    def test_also_soon_after_a_short_failure_of_the_store(self):
+        self.world.store.go_away()
+        self.world.pass_time(1)
+        self.world.store.return_()
+        self.live(seconds(1))
+        self.assertEqual(self.resume().status, 200)
+
     def test_not_soon_after_the_store_was_away(self):
         self.world.store.go_away()
         self.world.pass_time(4)
