--- a/libs/gateway/src/balsamspoke_gateway/stream_versions/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/stream_versions/coordinator.py
@@ -42,8 +42,8 @@
     don't check it. A caller may resume its stream at any process, also after the one
     where it started has ended. So a process tells a few others of each stream that
     starts, which are chosen by the stream's key; a process that doesn't know a stream
-    asks them. No process is told while all replicas have had the same version for the
-    longest time that a stream lasts: then nobody needs to know.
+    asks them. No process is told while all replicas have had the same version for as
+    long as an attempt may take: then nobody needs to know.
 
     Parameters
     ----------
