Let streams go on after all entry processes have started anew

Cause: a process believed a service's one software version after it had listed it for one longest timeout, though callers may wait longer, the older version may have just left, and a configuration that shortens timeouts shortened the wait at once: streams of v1 were taken up at v2 from 5.8 s after the start of all processes.

Change: a register of the versions at which streams may have begun, in the store. A version is written there before the first event from it is passed on, retired once no replica has it, and removed a lifetime later. One version in a complete register is right for every stream. Where several serve, two side processes, which live on, and an entry process are told of each stream, chosen by the content of its request, so that callers that name no request are helped too.

Tests changed: a stream without a request's name was refused, and is known by its content now; a process with no register that has just started believed one version after 6 s, which was the fault. Holders are three, and are asked by content.

--- a/benchmarks/stream_version_cost.py
+++ b/benchmarks/stream_version_cost.py
@@ -3,18 +3,23 @@
 import statistics
 import sys
 import time
+from dataclasses import replace
 from datetime import timedelta
 from pathlib import Path
 
-from balsamspoke_gateway.stream_versions import StreamOrigin, StreamOriginQuery
+from balsamspoke_gateway.stream_versions import (
+    StreamOrigin,
+    StreamOriginQuery,
+    make_stream_keys,
+)
 from balsamspoke_transport.datagrams import PeerDatagramProtocol
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "libs" / "gateway"))
 
 from tests.world import World, make_record
 
-# Entry processes besides the one that is measured.
-PEERS = (3, 25, 339)
+# Entry processes besides the one that is measured, and side processes.
+SIZES = ((3, 6), (25, 24), (339, 740))
 STREAMS = 5_000
 ROUNDS = 5
 # IP and UDP headers.
@@ -33,14 +38,18 @@
         self.datagrams.append(data)
 
 
-def make_process(peers):
-    """Return the protocol, transport and coordinator of a process with peers."""
+def make_process(peers, sides):
+    """Return the protocol, transport and coordinator of a process with others."""
     world = World()
     names = [f"10.1.{number // 250}.{number % 250}" for number in range(peers)]
     now = world.clock.monotonic()
     world.context.peer_activity.set_peers(names, timedelta(hours=1), now)
-    for version in ("v1", "v2"):
-        world.add(make_record(version, "engines", software_version=version))
+    for number in range(sides):
+        record = make_record(
+            f"engine-{number}", "engines", software_version=f"v{number % 2}"
+        )
+        ip = f"10.2.{number // 250}.{number % 250}"
+        world.context.fleet.directory.put(replace(record, ip=ip))
     transport = CountingTransport()
     protocol = PeerDatagramProtocol(7600, world.context.stream_versions.receive)
     protocol.transport = transport
@@ -56,13 +65,14 @@
     return (time.process_time() - started) * MICROSECONDS_PER_SECOND / count
 
 
-def measure_process(peers):
+def measure_process(peers, sides):
     """Return microseconds to announce, to receive and to reply, and the sent bytes."""
-    protocol, transport, versions = make_process(peers)
+    protocol, transport, versions = make_process(peers, sides)
     origin = StreamOrigin("assistant", "v1")
 
     def announce(number):
-        versions.record_start("harbour", f"{number:016x}", origin)
+        name = f"{number:016x}"
+        versions.record_start(make_stream_keys("harbour", name, name), origin)
 
     announced = measure(announce, STREAMS)
     notices = list(transport.datagrams)
@@ -81,11 +91,11 @@
 
 def main():
     """Print a line for each number of processes."""
-    print("processes  announce us  receive us  reply us  bytes sent a stream")
-    for peers in PEERS:
-        rounds = [measure_process(peers) for _ in range(ROUNDS)]
+    print("entry  side  announce us  receive us  reply us  bytes sent a stream")
+    for peers, sides in SIZES:
+        rounds = [measure_process(peers, sides) for _ in range(ROUNDS)]
         figures = [statistics.median(each) for each in zip(*rounds, strict=True)]
-        print(f"{peers + 1:9d}", *(f"{each:11.1f}" for each in figures))
+        print(f"{peers + 1:5d} {sides:5d}", *(f"{each:11.1f}" for each in figures))
 
 
 if __name__ == "__main__":
--- a/libs/gateway/src/balsamspoke_gateway/configuration.py
+++ b/libs/gateway/src/balsamspoke_gateway/configuration.py
@@ -271,6 +271,11 @@
         object.__setattr__(self, "_services_by_name", services)
         object.__setattr__(self, "_teams_by_key", teams)
 
+    def has_engine(self, name):
+        """Return whether a service with a name is known to serve models."""
+        service = self.find_service(name)
+        return service is not None and service.engine is not None
+
     def find_route(self, host, path):
         """Return the Route of a host with the longest prefix of a path.
 
--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -31,14 +31,19 @@
         List of entry processes, to which this process adds itself.
     quarantine_store : QuarantineStore
         Keeps the prompts that crash replicas.
+    version_store : VersionRegisterStore
+        Keeps the software versions at which streams may have begun.
     started : int
         Identifies this start of the process; differs between its starts.
     """
 
-    def __init__(self, context, sources, registry, quarantine_store, started):
+    def __init__(
+        self, context, sources, registry, quarantine_store, version_store, started
+    ):
         self.context = context
         self._store_view = StoreView(context, sources, registry, self._send_demands)
         self._quarantine_store = quarantine_store
+        self._version_store = version_store
         self._started = started
         self._running = set()
 
@@ -133,7 +138,9 @@
 
     def start(self):
         """Start to follow the store and to exchange messages; return at once."""
-        self.context.stream_versions.start(self._store_view.reachability)
+        self.context.stream_versions.start(
+            self._store_view.reachability, self._version_store
+        )
         self._store_view.start()
         self._maintain_replicas()
         self.context.replica_speed.start()
@@ -243,10 +250,7 @@
 
     def _has_engine(self, record):
         configuration = self.context.configuration
-        if configuration is None:
-            return False
-        service = configuration.find_service(record.service)
-        return service is not None and service.engine is not None
+        return configuration is not None and configuration.has_engine(record.service)
 
     def _send_usage(self):
         context = self.context
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
@@ -287,7 +287,10 @@
             piece = await self._read_stream_piece()
             if not piece:
                 break
-            self._forward_events(answer, splitter.add(piece))
+            events = splitter.add(piece)
+            if events and self._first_event_at is None:
+                await self._forwarding.register_version(self._record)
+            self._forward_events(answer, events)
             if splitter.is_too_long:
                 raise AnswerLost("the stream has an event without an end")
             if self._forwarding.sink.is_full:
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
@@ -27,7 +27,7 @@
 from ..placement.selection import ReplicaSelection
 from ..quarantine import make_fingerprint
 from ..scheduling.coordinator import BUSY_RETRY_AFTER
-from ..stream_versions import StreamOrigin
+from ..stream_versions import StreamOrigin, make_stream_keys
 from .attempt import Attempt, NotRun
 from .progress import Progress
 
@@ -104,7 +104,8 @@
             self.context.report_bug(Failure())
             self._finish_with_error(OutcomeUnknown("internal error"), self.sink.fail)
         finally:
-            self.context.stream_versions.record_end(self.team_name, self.request.id)
+            if self.progress.software_version is not None:
+                self.context.stream_versions.record_end(self._stream_keys)
 
     def time_left(self):
         """Return the timedelta until the request's deadline."""
@@ -145,18 +146,31 @@
         """Restrict a stream that the caller resumes to the software that began it."""
         if not self.is_stream or self.request.last_event_id is None:
             return
-        origin = await self.context.stream_versions.find(
-            self.team_name, self.request.resumed_id, self.service
-        )
+        versions = self.context.stream_versions
+        origin = await versions.find(self._stream_keys, self.service)
         if origin is None:
+            known = versions.describe_versions(self.service)
             reason = "not known here which software version began the stream"
-            raise StreamNotResumable(reason, NO_DELAY)
+            raise StreamNotResumable(f"{reason}: {known}", NO_DELAY)
         if not self.route.leads_to(origin.service):
             reason = f"the route no longer leads to {origin.service}"
             raise StreamNotResumable(reason)
         self.service = origin.service
         self.progress.software_version = origin.version
 
+    async def register_version(self, record):
+        """Register the software version of a replica that brings the first event.
+
+        Parameters
+        ----------
+        record : ReplicaRecord
+            The replica.
+        """
+        if self._is_resumable_start:
+            await self.context.stream_versions.register(
+                record.service, record.software_version, self.request.caller_timeout
+            )
+
     def record_first_event(self, record, adapter_version):
         """Record where an attempt brings its first event.
 
@@ -169,14 +183,22 @@
         """
         if not self.sink.is_started:
             self.progress.adapter_version = adapter_version
-        if self.progress.software_version is not None:
-            return
-        self.progress.software_version = record.software_version
-        if self.route.is_idempotent:
+        if self._is_resumable_start:
             origin = StreamOrigin(record.service, record.software_version)
-            self.context.stream_versions.record_start(
-                self.team_name, self.request.id, origin
-            )
+            self.context.stream_versions.record_start(self._stream_keys, origin)
+        if self.progress.software_version is None:
+            self.progress.software_version = record.software_version
+
+    @property
+    def _is_resumable_start(self):
+        """Whether the next event is the first one of a stream that may be resumed."""
+        return self.progress.software_version is None and self.route.is_idempotent
+
+    @property
+    def _stream_keys(self):
+        """StreamKeys of the stream."""
+        request_id = self.resumed_id or None
+        return make_stream_keys(self.team_name, request_id, self.fingerprint)
 
     def _charge(self):
         if self.team is None:
--- a/libs/gateway/src/balsamspoke_gateway/observing/__init__.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing/__init__.py
@@ -40,6 +40,7 @@
     EntriesListed,
     PeersAhead,
     StoreRestored,
+    VersionsRegistered,
 )
 
 __all__ = [
@@ -79,4 +80,5 @@
     "StoreRestored",
     "StreamResumed",
     "TeamsLimited",
+    "VersionsRegistered",
 ]
--- a/libs/gateway/src/balsamspoke_gateway/observing/store.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing/store.py
@@ -64,6 +64,22 @@
     era: int
 
 
+@dataclass(frozen=True, slots=True)
+class VersionsRegistered:
+    """The software versions at which streams may have begun were changed here.
+
+    Attributes
+    ----------
+    versions : dict
+        Versions (tuple of str) by service.
+    is_complete : bool
+        Whether no stream that may be resumed began at a version that is missing.
+    """
+
+    versions: dict[str, tuple[str, ...]]
+    is_complete: bool
+
+
 @dataclass(frozen=True, slots=True)
 class PeersAhead:
     """Requests are refused until the configuration that a peer has is known here.
--- a/libs/gateway/src/balsamspoke_gateway/settings.py
+++ b/libs/gateway/src/balsamspoke_gateway/settings.py
@@ -39,6 +39,8 @@
     domain_drain_time : timedelta or None
         Longest time in which the replicas of a failure domain may still get requests
         after the operator has drained it; None if operators don't drain domains.
+    is_first_start : bool
+        Whether the whole system starts for the first time.
     """
 
     vm: str
@@ -53,3 +55,4 @@
     stop_grace: timedelta = timedelta(seconds=8)
     quota_tolerance: QuotaTolerance = field(default_factory=QuotaTolerance)
     domain_drain_time: timedelta | None = None
+    is_first_start: bool = False
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -31,6 +31,7 @@
 from .replica_speed.engine import EngineSpeed
 from .scheduling.backlogs import UnreadPrompts
 from .store.reachability import Reachability
+from .stream_versions import StreamOriginHolder
 
 # Interval after an order: the effect is read soon, but not in a busy loop.
 ORDER_INTERVAL = timedelta(milliseconds=4)
@@ -101,6 +102,7 @@
         self._refused_adapters = ()
         self._backoff_ends = clock.monotonic()
         self._speed = EngineSpeed()
+        self._streams = StreamOriginHolder(clock, peers.send)
 
     @property
     def report_age(self):
@@ -112,6 +114,10 @@
         """Tokens of the prompts that wait for admission."""
         return self._admission.queued_tokens
 
+    def count_streams(self):
+        """Return the number of streams whose origin is kept for entry processes."""
+        return len(self._streams)
+
     def start(self):
         """Start the control loop; return its Deferred."""
         return Deferred.fromCoroutine(self._run())
@@ -130,6 +136,8 @@
             self._admission.receive_cancellation(ip, message)
         elif isinstance(message, EntryDemand):
             self._receive_demand(ip, bound_demand(message))
+        else:
+            self._streams.receive(ip, message)
 
     def _receive_demand(self, ip, message):
         is_new = not self._plan.has_demand(ip)
--- a/libs/gateway/src/balsamspoke_gateway/store/view.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/view.py
@@ -138,6 +138,7 @@
         # The follower whose call showed the new era is still processing the answer.
         context.clock.call_later(NO_DELAY, self._restart_followers)
         context.quarantine.rewrite_records()
+        context.stream_versions.handle_restored_store()
         # By then all processes have added themselves to the list again.
         context.clock.call_later(RECOVERY_GRACE, self.read_peers)
 
--- a/libs/gateway/src/balsamspoke_gateway/stream_versions/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/stream_versions/coordinator.py
@@ -1,49 +1,39 @@
-"""Knowledge of where streams have started, kept together by the entry processes."""
+"""Knowledge of where streams have started, kept together by all processes."""
 
-from datetime import timedelta
-
-from balsamspoke_types.timing import add_timeout
 from twisted.internet.defer import Deferred
 
-from ..exceptions import AnswerOverdue
 from ..rendezvous import rank_names
 from .history import VersionHistory
-from .messages import StreamOriginQuery, StreamOriginReply, StreamStarted
-from .records import StreamOrigin, StreamRecords, make_stream_key
-
-# Other processes that are told where a stream has started.
-HOLDERS = 2
-# Processes that are asked: the sender of a notice is no holder of it, and a process
-# that came back since ranks before one that was told.
-ASKED_PROCESSES = HOLDERS + 1
-# Time in which a reply arrives, also from another region.
-REPLY_TIMEOUT = timedelta(milliseconds=100)
-# Shortest time for which a stream's origin is kept.
-MIN_LIFETIME = timedelta(seconds=30)
-# A caller that resumes a stream may have waited for the route's timeout once before.
-LIFETIME_TIMEOUTS = 2
+from .holder import StreamOriginHolder
+from .inquiry import StreamOriginInquiry
+from .lifetime import StreamLifetime
+from .messages import StreamOriginReply, StreamStarted
+from .records import StreamOrigin
+from .registration import VersionRegistration
+from .upkeep import RegisterUpkeep
+
+# Processes that are told where a stream has started. Side processes go on when all
+# entry processes end.
+SIDE_HOLDERS = 2
+ENTRY_HOLDERS = 1
+# Entry processes that are told if there are no side processes.
+ENTRY_HOLDERS_ALONE = 2
+# One more is asked than was told: the sender of a notice is no holder of it, and a
+# process that came back since ranks before one that was told.
+EXTRA_ASKED = 1
 # Seconds without an answer of the store after which a replica of another version may
 # have gone unseen. Replicas write their entries every second or so.
 MAX_STORE_SILENCE = 3.0
 
 
-class _Question:
-    __slots__ = ("unanswered", "waiter")
-
-    def __init__(self, waiter, unanswered):
-        self.waiter = waiter
-        self.unanswered = unanswered
-
-
 class StreamVersionCoordinator:
     """Find the service and software version at which a resumed stream has started.
 
     What two software versions of a replica write doesn't fit together, and replicas
-    don't check it. A caller may resume its stream at any process, also after the one
-    where it started has ended. So a process tells a few others of each stream that
-    starts, which are chosen by the stream's key; a process that doesn't know a stream
-    asks them. No process is told while all replicas have had the same version for as
-    long as an attempt may take: then nobody needs to know.
+    don't check it. A caller may resume its stream at any process, also after all entry
+    processes have started anew. So a version is registered in the store before the
+    first stream begins there, and where several are registered, a process tells a few
+    others of each stream that starts, which are chosen by the stream's content.
 
     Parameters
     ----------
@@ -54,37 +44,46 @@
     def __init__(self, context):
         self._context = context
         self._clock = context.clock
-        self._records = StreamRecords()
         self._history = VersionHistory()
+        self._lifetime = StreamLifetime()
         self._reachability = None
+        self._registration = None
         self._unannounced = {}
-        self._questions = {}
-        self._last_number = 0
+        self._holder = StreamOriginHolder(self._clock, self._send)
+        self._inquiry = StreamOriginInquiry(self._clock, self._send)
 
     @property
     def lifetime(self):
         """Time (timedelta) for which a stream may be resumed after its start."""
-        return max(MIN_LIFETIME, LIFETIME_TIMEOUTS * self._longest_attempt)
+        return self._lifetime.value
 
-    @property
-    def _longest_attempt(self):
-        """Time (timedelta) that an attempt to get a stream takes at most."""
-        configuration = self._context.configuration
-        if configuration is None:
-            return MIN_LIFETIME
-        return configuration.longest_resumable_timeout
+    def start(self, reachability, store):
+        """Start to keep the register of versions.
 
-    def start(self, reachability):
-        """Use a Reachability to tell whether the store is heard."""
+        Parameters
+        ----------
+        reachability : Reachability
+            Tells whether the store is heard.
+        store : VersionRegisterStore
+            Holds the register.
+        """
         self._reachability = reachability
+        self._registration = VersionRegistration(
+            self._context,
+            store,
+            RegisterUpkeep(self._history),
+            self._lifetime,
+            reachability.record_failure,
+        )
+        self._registration.start()
 
     def count_records(self):
         """Return the number of streams of which the origin is known."""
-        return len(self._records)
+        return len(self._holder)
 
     def count_pending(self):
         """Return the number of questions without an answer."""
-        return len(self._questions)
+        return len(self._inquiry)
 
     def record_recovery(self):
         """Record that the store answers again.
@@ -95,55 +94,75 @@
         if outage is None or outage > MAX_STORE_SILENCE:
             self._history.restart(self._clock.monotonic())
 
+    def handle_restored_store(self):
+        """Begin anew with a store that was restored from an older copy."""
+        if self._registration is not None:
+            self._registration.handle_restored_store()
+
     def refresh(self):
         """Record the versions that the directory lists, and forget what is too old.
 
         The caller does so before and after it changes the directory.
         """
         now = self._clock.monotonic()
+        configuration = self._context.configuration
+        if configuration is not None:
+            self._lifetime.include_timeout(configuration.longest_resumable_timeout)
         versions = self._context.fleet.directory.list_versions()
         if versions and not self._history.is_following:
             self._history.restart(now)
         self._history.record(versions, now)
-        cutoff = now - self.lifetime
-        self._history.expire(cutoff)
-        self._records.expire(cutoff)
+        self._history.expire(now - self.lifetime)
+        self._holder.lifetime = self.lifetime
         self._announce_delayed()
 
-    def record_start(self, team, request_id, origin):
+    async def register(self, service, version, patience):
+        """Register a version before the first event of a stream is passed on.
+
+        A store that doesn't answer at once delays the event by little: the holders are
+        told then.
+
+        Parameters
+        ----------
+        service : str
+            Name of the replica's service.
+        version : str
+            Software version of the replica.
+        patience : timedelta or None
+            Time for which the caller waits in all; None if it doesn't say.
+        """
+        if patience is not None:
+            self._lifetime.include(patience)
+        if self._registration is not None:
+            await self._registration.add(service, version)
+
+    def record_start(self, keys, origin):
         """Record the first event of a stream.
 
         Parameters
         ----------
-        team : str
-            Name of the caller's team; empty for none.
-        request_id : str
-            Id of the caller's request.
+        keys : StreamKeys
+            Keys of the stream.
         origin : StreamOrigin
             Where the stream has started.
         """
-        key = make_stream_key(team, request_id)
-        if key is None:
-            return
-        self._records.put(key, origin, self._clock.monotonic())
-        if self._find_only_version(origin.service) is None:
-            self._announce(key, origin)
+        self._holder.put(keys, origin)
+        if self._is_only_version(origin):
+            self._unannounced[keys] = origin
         else:
-            self._unannounced[key] = origin
+            self._announce(keys, origin)
 
-    def record_end(self, team, request_id):
+    def record_end(self, keys):
         """Record that a request has ended, whether or not a stream has started."""
-        self._unannounced.pop(make_stream_key(team, request_id), None)
+        self._unannounced.pop(keys, None)
 
-    async def find(self, team, request_id, service):
+    async def find(self, keys, service):
         """Return the StreamOrigin of a stream that a caller resumes.
 
         Parameters
         ----------
-        team : str
-            Name of the caller's team; empty for none.
-        request_id : str or None
-            Id of the request that brought the first event; None if not stated.
+        keys : StreamKeys
+            Keys of the stream.
         service : str
             Service that the request would be sent to.
 
@@ -152,89 +171,141 @@
         StreamOrigin or None
             None if the stream may have started at a version that can't be told.
         """
-        key = make_stream_key(team, request_id)
-        if key is not None:
-            origin = self._records.find(key) or await self._ask(key)
-            if origin is not None:
-                return origin
-        version = self._find_only_version(service)
+        origin = self._holder.find(keys)
+        if origin is not None:
+            return origin
+        reading = Deferred.fromCoroutine(self._read_only_version(service))
+        origin = await self._inquiry.ask(keys, self._choose_asked(keys))
+        if origin is not None:
+            return origin
+        version = await reading
         return None if version is None else StreamOrigin(service, version)
 
+    def describe_versions(self, service):
+        """Return which versions a stream may have begun at, for logs."""
+        versions = None
+        if self._registration is not None:
+            versions = self._registration.find_versions(service)
+        if versions is None:
+            return "the store doesn't tell which versions it may have begun at"
+        listed = self._list_versions(service) | versions
+        return f"it may have begun at {', '.join(sorted(listed)) or 'none'}"
+
     def receive(self, ip, message):
         """Process a message of a peer; return whether it concerns streams."""
-        if isinstance(message, StreamStarted):
-            origin = StreamOrigin(message.service, message.version)
-            self._records.put(message.stream, origin, self._clock.monotonic())
-        elif isinstance(message, StreamOriginQuery):
-            self._reply(ip, message)
-        elif isinstance(message, StreamOriginReply):
-            self._receive_reply(message)
-        else:
+        if isinstance(message, StreamOriginReply):
+            self._inquiry.receive(message)
+            return True
+        return self._holder.receive(ip, message)
+
+    async def _read_only_version(self, service):
+        """Return the one version that the service has had; None if not certain."""
+        if self._registration is None:
+            return self._find_followed_version(service)
+        registered = self._registration.find_versions(service)
+        if registered is None or len(registered) == 1:
+            # Several stay so for long; another one may have come since the last read.
+            registered = await self._registration.read_versions(service)
+        return self._choose_only(service, registered)
+
+    def _choose_only(self, service, registered):
+        """Return the one version of a service; None if not certain.
+
+        A version that is listed also counts: a process that could not write may have
+        begun streams there.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        registered : set of str or None
+            Versions at which streams may have begun; None if not known.
+        """
+        if registered is None:
+            return self._find_followed_version(service)
+        if len(registered) != 1:
+            return None
+        if not self._list_versions(service) <= registered:
+            return None
+        return next(iter(registered))
+
+    def _list_versions(self, service):
+        """Return the set of versions that a service has had lately, as seen here."""
+        listed = self._context.fleet.directory.list_versions()
+        now = {version for name, version in listed if name == service}
+        return now | self._history.list_versions(service)
+
+    def _is_only_version(self, origin):
+        """Return whether a StreamOrigin is the only one at which streams may begin."""
+        service, version = origin.service, origin.version
+        registered = None
+        if self._registration is not None:
+            registered = self._registration.find_versions(service)
+        if registered is not None and version not in registered:
             return False
-        return True
+        return self._choose_only(service, registered) == version
 
-    def _find_only_version(self, service):
-        """Return the one version that a service has had; None if not certain."""
+    def _find_followed_version(self, service):
+        """Return the one version that was listed for long enough; None if not certain.
+
+        It serves where the register can't be read, or is not complete yet.
+        """
         silence = None if self._reachability is None else self._reachability.silence
         if silence is None or silence > MAX_STORE_SILENCE:
             return None
-        since = self._clock.monotonic() - self._longest_attempt
+        since = self._clock.monotonic() - self.lifetime
         return self._history.find_only_version(service, since)
 
     def _announce_delayed(self):
         """Announce the running streams of services that have several versions now."""
-        services = {origin.service for origin in self._unannounced.values()}
-        certain = {each for each in services if self._find_only_version(each)}
-        for key, origin in list(self._unannounced.items()):
-            if origin.service not in certain:
-                del self._unannounced[key]
-                self._announce(key, origin)
-
-    def _announce(self, key, origin):
-        message = StreamStarted(key, origin.service, origin.version)
-        for ip in self._rank_peers(key)[:HOLDERS]:
-            self._context.peers.send(ip, message)
-
-    def _rank_peers(self, key):
+        origins = set(self._unannounced.values())
+        certain = {each for each in origins if self._is_only_version(each)}
+        for keys, origin in list(self._unannounced.items()):
+            if origin not in certain:
+                del self._unannounced[keys]
+                self._announce(keys, origin)
+
+    def _announce(self, keys, origin):
+        message = StreamStarted(
+            keys.request, origin.service, origin.version, keys.content
+        )
+        for ip in self._choose_holders(keys):
+            self._send(ip, message)
+
+    def _choose_holders(self, keys):
+        """Return the IP addresses of the processes that are told of a stream."""
+        sides, entries = self._rank_processes(keys)
+        if not sides:
+            return entries[:ENTRY_HOLDERS_ALONE]
+        return sides[:SIDE_HOLDERS] + entries[:ENTRY_HOLDERS]
+
+    def _choose_asked(self, keys):
+        """Return the IP addresses of the processes that may have been told."""
+        sides, entries = self._rank_processes(keys)
+        if not sides:
+            return entries[: ENTRY_HOLDERS_ALONE + EXTRA_ASKED]
+        asked_sides = sides[: SIDE_HOLDERS + EXTRA_ASKED]
+        return asked_sides + entries[: ENTRY_HOLDERS + EXTRA_ASKED]
+
+    def _rank_processes(self, keys):
+        """Return IP addresses of side and of entry processes, best holders first."""
         now = self._clock.monotonic()
-        return rank_names(key, self._context.peer_activity.list_heard(now))
-
-    async def _ask(self, key):
-        """Return the StreamOrigin that the holders tell; None if none knows it."""
-        asked = self._rank_peers(key)[:ASKED_PROCESSES]
-        if not asked:
-            return None
-        self._last_number += 1
-        number = self._last_number
-        waiter = Deferred()
-        self._questions[number] = _Question(waiter, len(asked))
-        for ip in asked:
-            self._context.peers.send(ip, StreamOriginQuery(number, key))
-        try:
-            return await add_timeout(
-                waiter, self._clock, REPLY_TIMEOUT, AnswerOverdue()
-            )
-        except AnswerOverdue:
-            return None
-        finally:
-            self._questions.pop(number, None)
-
-    def _reply(self, ip, query):
-        origin = self._records.find(query.stream)
-        if origin is None:
-            reply = StreamOriginReply(query.number)
-        else:
-            reply = StreamOriginReply(query.number, origin.service, origin.version)
-        self._context.peers.send(ip, reply)
-
-    def _receive_reply(self, reply):
-        question = self._questions.get(reply.number)
-        if question is None:
-            return
-        question.unanswered -= 1
-        is_known = reply.service is not None and reply.version is not None
-        if not is_known and question.unanswered:
-            return
-        del self._questions[reply.number]
-        origin = StreamOrigin(reply.service, reply.version) if is_known else None
-        question.waiter.callback(origin)
+        entries = self._context.peer_activity.list_heard(now)
+        return (
+            rank_names(keys.content, self._list_sides()),
+            rank_names(keys.content, entries),
+        )
+
+    def _list_sides(self):
+        """Return the IP addresses (set) of the side processes of all engines."""
+        configuration = self._context.configuration
+        if configuration is None:
+            return set()
+        return {
+            each.ip
+            for each in self._context.fleet.directory.list_all()
+            if not each.is_leaving and configuration.has_engine(each.service)
+        }
+
+    def _send(self, ip, message):
+        self._context.peers.send(ip, message)
--- a/libs/gateway/src/balsamspoke_gateway/stream_versions/history.py
+++ b/libs/gateway/src/balsamspoke_gateway/stream_versions/history.py
@@ -34,17 +34,29 @@
         for service, version in versions:
             self._last_seen.setdefault(service, {})[version] = now
 
+    def list_versions(self, service):
+        """Return the set of versions of a service that were seen and not forgotten."""
+        return set(self._last_seen.get(service, ()))
+
     def find_only_version(self, service, since):
         """Return the one version of a service since a monotonic time.
 
         It is None if there were several, or if some may have gone unseen.
         """
-        if self._followed_since is None or self._followed_since > since:
+        if not self._has_followed(since):
             return None
         last_seen = self._last_seen.get(service, {})
         versions = [version for version, seen in last_seen.items() if seen >= since]
         return versions[0] if len(versions) == 1 else None
 
+    def is_absent(self, service, version, since):
+        """Return whether no replica had a version of a service since a time."""
+        last_seen = self._last_seen.get(service, {}).get(version)
+        return self._has_followed(since) and (last_seen is None or last_seen < since)
+
+    def _has_followed(self, since):
+        return self._followed_since is not None and self._followed_since <= since
+
     def expire(self, cutoff):
         """Forget the versions last seen before a monotonic time."""
         for service, last_seen in list(self._last_seen.items()):
--- a/libs/gateway/src/balsamspoke_gateway/stream_versions/messages.py
+++ b/libs/gateway/src/balsamspoke_gateway/stream_versions/messages.py
@@ -1,4 +1,4 @@
-"""Messages between entry processes on streams; each one may be lost in transit.
+"""Messages on streams between processes; each one may be lost in transit.
 
 Field names are part of the wire format.
 """
@@ -13,16 +13,19 @@
     Attributes
     ----------
     stream : int
-        Key of the stream, see ``make_stream_key``.
+        Key of the request's id, see ``StreamKeys``; 0 if it has none.
     service : str
         Name of the replica's service.
     version : str
         Software version of the replica.
+    content : int
+        Key of the request's content; 0 if not known.
     """
 
     stream: int
     service: str
     version: str
+    content: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,11 +37,14 @@
     number : int
         Number of the message, unique at the sender.
     stream : int
-        Key of the stream.
+        Key of the request's id; 0 if the caller names none.
+    content : int
+        Key of the request's content; 0 if not known.
     """
 
     number: int
     stream: int
+    content: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/tests/engine_fleet.py
+++ b/libs/gateway/tests/engine_fleet.py
@@ -5,11 +5,12 @@
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
-from balsamspoke_fakes import VirtualTime
+from balsamspoke_fakes import VirtualClock, VirtualTime
 from balsamspoke_gateway.exceptions import ConnectionLost, NotSent
 from balsamspoke_gateway.messages import ReplicaState
 from balsamspoke_gateway.ports import Exchange, PeerSender, ReplicaClient
 from balsamspoke_gateway.requests import ReplicaAnswer
+from balsamspoke_gateway.stream_versions import StreamOriginHolder
 from twisted.internet.defer import Deferred, fail, succeed
 
 from .entry_world import EntryWorld, FakeStore
@@ -335,6 +336,9 @@
         self._ip = ip
 
     def send(self, ip, message):
+        fleet = self._fleet
+        if ip in fleet.sides and not fleet.is_lost(self._ip, ip):
+            fleet.call_later(NETWORK_DELAY, fleet.tell_side, self._ip, ip, message)
         if ip in self._fleet.entries and not self._fleet.is_lost(self._ip, ip):
             self._fleet.call_later(NETWORK_DELAY, self._deliver, ip, message)
 
@@ -363,6 +367,8 @@
         Further parameters of each World.
     cold_rate : float
         Requests a second that a cold engine takes.
+    timeout : float or None
+        Seconds that the routes allow; None for those of CONFIGURATION.
 
     Attributes
     ----------
@@ -376,6 +382,8 @@
         Engines by IP address.
     entries : dict
         EntryWorlds by IP address.
+    sides : dict
+        StreamOriginHolders of the side processes by IP address.
     loses_messages : bool
         Whether messages between entry processes are lost.
     loss_rate : float
@@ -393,6 +401,7 @@
         domains=("north",),
         adapters=(),
         cold_rate=0.0,
+        timeout=None,
         **settings,
     ):
         self._service = service
@@ -404,6 +413,8 @@
             for each in CONFIGURATION.services
         ]
         self._configuration = replace(CONFIGURATION, services=tuple(services))
+        if timeout is not None:
+            self._change_timeout(timeout)
         self.time = VirtualTime()
         self.store = FakeStore()
         self.arrivals = []
@@ -411,6 +422,7 @@
         self.crashes = []
         self.engines = {}
         self.entries = {}
+        self.sides = {}
         self.loses_messages = False
         self.loss_rate = 0.0
         self.is_cut = lambda sender, receiver: False
@@ -420,6 +432,7 @@
             version = versions[number % len(versions)]
             record = self.make_engine_record(f"10.0.0.{number}", version)
             self.engines[record.ip] = Engine(self, record)
+            self.start_side(record.ip)
             self.store.write("replicas", record.id, record)
         for number in range(1, entries + 1):
             self.start_entry(f"10.0.1.{number}")
@@ -435,6 +448,57 @@
             return True
         return self._rng.random() < self.loss_rate
 
+    def _change_timeout(self, timeout):
+        routes = tuple(
+            replace(each, timeout=seconds(timeout))
+            for each in self._configuration.routes
+        )
+        self._configuration = replace(
+            self._configuration,
+            version=self._configuration.version + 1,
+            routes=routes,
+        )
+
+    def set_timeout(self, timeout):
+        """Write a configuration whose routes allow a number of seconds."""
+        self._change_timeout(timeout)
+        self.store.write("configurations", "main", self._configuration)
+
+    def set_first_start(self, is_first_start):
+        """Set what the settings tell the entry processes that start from now on."""
+        self._settings["is_first_start"] = is_first_start
+
+    def remove_version(self, version):
+        """End all engines of a software version, with their side processes."""
+        for ip, engine in list(self.engines.items()):
+            if engine.record.software_version != version:
+                continue
+            engine.is_up = False
+            running, engine.running = list(engine.running), {}
+            for exchange in running:
+                exchange.break_off(self.make_loss_error())
+            self.sides.pop(ip, None)
+            self.store.write("replicas", engine.record.id, None)
+
+    def release_version(self, version, count):
+        """Start a number of engines of a software version, on VMs of their own."""
+        for _ in range(count):
+            record = self.make_engine_record(f"10.0.0.{100 + len(self.engines)}")
+            record = replace(record, software_version=version)
+            self.engines[record.ip] = Engine(self, record)
+            self.start_side(record.ip)
+            self.store.write("replicas", record.id, record)
+
+    def start_side(self, ip):
+        """Start the part of a side process that remembers streams, with no memory."""
+        peers = FleetPeers(self, ip)
+        self.sides[ip] = StreamOriginHolder(VirtualClock(self.time), peers.send)
+
+    def tell_side(self, sender, ip, message):
+        """Deliver a message of an entry process to a side process."""
+        if ip in self.sides:
+            self.sides[ip].receive(sender, message)
+
     def call_later(self, delay, function, *arguments):
         """Schedule a call after a number of seconds."""
         self.time.schedule(self.time.elapsed + seconds(delay), function, *arguments)
--- a/libs/gateway/tests/entry_world.py
+++ b/libs/gateway/tests/entry_world.py
@@ -8,6 +8,11 @@
 from balsamspoke_gateway.store.following import RecordChange, RecordPage, StorePosition
 from balsamspoke_gateway.store.records import EntrySources
 from balsamspoke_gateway.store.startup import StartupGate
+from balsamspoke_gateway.stream_versions import (
+    RegisterConflict,
+    StoredRegister,
+    VersionRegisterStore,
+)
 from balsamspoke_types.exceptions import StoreUnavailable, WatchExpired
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.python.failure import Failure
@@ -34,6 +39,8 @@
         Called without arguments to check a pending poll again.
     silent_kinds : set of str
         Kinds whose lists are not answered yet.
+    refuses_registers : bool
+        Whether the register of versions can't be written.
     pending_lists : list of callable
         Called without arguments to answer such a list.
     """
@@ -43,7 +50,9 @@
         self.records["entries"] = {}
         self.records["quarantine"] = {}
         self.records["drain requests"] = {}
+        self.records["stream versions"] = {}
         self.is_unavailable = False
+        self.refuses_registers = False
         self.revision = 0
         self.era = 1
         self.history = []
@@ -240,6 +249,29 @@
         return succeed(None)
 
 
+class FakeVersionRegister(VersionRegisterStore):
+    """Register of versions in a FakeStore, with the revision of its last write."""
+
+    def __init__(self, store):
+        self.store = store
+
+    def read(self):
+        if self.store.is_unavailable:
+            return fail(StoreUnavailable("the store is unavailable"))
+        register, revision = self.store.records["stream versions"].get("all", (None, 0))
+        return succeed(StoredRegister(register, revision, self.store.era))
+
+    def write(self, register, revision):
+        if self.store.is_unavailable or self.store.refuses_registers:
+            return fail(StoreUnavailable("the store is unavailable"))
+        _, current = self.store.records["stream versions"].get("all", (None, 0))
+        if current != revision:
+            return fail(RegisterConflict())
+        stored = (register, self.store.revision + 1)
+        self.store.write("stream versions", "all", stored)
+        return succeed(None)
+
+
 class EntryWorld(World):
     """An entry process that follows a fake store.
 
@@ -278,6 +310,7 @@
             sources,
             registry,
             FakeQuarantineStore(self.store),
+            FakeVersionRegister(self.store),
             started,
         )
 
--- a/libs/gateway/tests/resuming_callers.py
+++ b/libs/gateway/tests/resuming_callers.py
@@ -18,6 +18,8 @@
         Receives the requests.
     name : str
         Beginning of the ids of its requests.
+    names_request : bool
+        Whether it names the request that brought the first event as it resumes.
 
     Attributes
     ----------
@@ -31,9 +33,10 @@
         Whether a request resumed the stream after its first event.
     """
 
-    def __init__(self, fleet, name):
+    def __init__(self, fleet, name, names_request=True):
         self.fleet = fleet
         self.name = name
+        self._names_request = names_request
         self.entry = None
         self.sink = None
         self.attempts = 0
@@ -69,11 +72,13 @@
         request_id = f"{self.name}-{self.attempts}"
         self.attempts += 1
         self.entry = entry
+        is_named = last_event_id is not None and self._names_request
         self.sink, self._running = self.fleet.entries[entry].send(
             "resumable",
             request_id=request_id,
+            body=self.name.encode(),
             last_event_id=last_event_id,
-            resumed_id=self._first_id if last_event_id else None,
+            resumed_id=self._first_id if is_named else None,
         )
         if not self._earlier_events:
             self._first_id = request_id
@@ -93,6 +98,8 @@
         Receives the requests.
     seed : int
         Seed of the choices.
+    names_requests : bool
+        Whether the callers name the request that brought the first event.
 
     Attributes
     ----------
@@ -100,8 +107,9 @@
         All callers so far.
     """
 
-    def __init__(self, fleet, seed):
+    def __init__(self, fleet, seed, names_requests=True):
         self.fleet = fleet
+        self._names_requests = names_requests
         self.callers = []
         self._rng = random.Random(seed)
         self._numbers = itertools.count()
@@ -114,26 +122,28 @@
     def run(self, duration, rate=40):
         """Begin streams at a rate per second for a number of seconds."""
         for _ in range(int(duration * rate)):
-            caller = ResumingCaller(self.fleet, f"stream-{next(self._numbers)}")
+            name = f"stream-{next(self._numbers)}"
+            caller = ResumingCaller(self.fleet, name, self._names_requests)
             caller.request(self._choose_entry())
             self.callers.append(caller)
             self.fleet.pass_time(1 / rate)
-            self._come_back()
+            self.come_back()
 
-    def kill_entry(self, ip):
-        """Kill an entry process; its callers come to the others at once."""
+    def kill_entry(self, ip, comes_back=True):
+        """Kill an entry process; its callers come to the others at once, if at all."""
         self.fleet.kill_entry(ip)
         for caller in self.callers:
             if caller.entry == ip and not caller.sink.is_ended:
                 caller.sink.is_broken = True
-        self._come_back()
+        if comes_back:
+            self.come_back()
 
     def reset_connections(self, ip):
         """Lose the connections of all callers of an entry process."""
         for caller in self.callers:
             if caller.entry == ip and not caller.sink.is_ended:
                 caller.disconnect()
-        self._come_back()
+        self.come_back()
 
     def count_mixed(self):
         """Return the number of streams with events of several software versions."""
@@ -146,7 +156,8 @@
     def _choose_entry(self):
         return self._rng.choice(list(self.fleet.entries))
 
-    def _come_back(self):
+    def come_back(self):
+        """Let each caller whose stream is not complete come back once."""
         for caller in self.callers:
             is_served = caller.is_complete or not caller.sink.is_ended
             if not is_served and caller.attempts < MAX_ATTEMPTS:
--- a/libs/gateway/tests/test_drained_domains.py
+++ b/libs/gateway/tests/test_drained_domains.py
@@ -31,8 +31,7 @@
 from balsamspoke_gateway.requests import AdapterName
 from balsamspoke_gateway.store.following import RecordPage, StorePosition
 from balsamspoke_gateway.store.records import DrainRequest
-from balsamspoke_gateway.stream_versions.messages import StreamStarted
-from balsamspoke_gateway.stream_versions.records import make_stream_key
+from balsamspoke_gateway.stream_versions import StreamStarted, make_stream_keys
 from hypothesis import given
 from hypothesis import strategies as st
 from twisted.internet.defer import Deferred
@@ -422,7 +421,9 @@
                     world.store.write("replicas", record.id, record)
                 world.pass_time(1)
                 origin = StreamStarted(
-                    make_stream_key("", "first"), "engines", "v1" if is_known else "v0"
+                    make_stream_keys("", "first", "").request,
+                    "engines",
+                    "v1" if is_known else "v0",
                 )
                 world.context.stream_versions.receive("10.0.1.9", origin)
                 world.drain("north")
--- a/libs/gateway/tests/test_side.py
+++ b/libs/gateway/tests/test_side.py
@@ -16,6 +16,11 @@
     RecentSamples,
 )
 from balsamspoke_gateway.side import SideCore
+from balsamspoke_gateway.stream_versions import (
+    StreamOriginQuery,
+    StreamOriginReply,
+    StreamStarted,
+)
 from twisted.internet.defer import fail, succeed
 
 from .recorders import RecordedObserver, RecordedPeers
@@ -321,5 +326,27 @@
         self.assertEqual(names, ["DependencyLost", "DependencyRegained"])
 
 
+class StreamHolderTests(unittest.TestCase):
+    def test_a_side_process_tells_where_streams_began_that_it_was_told_of(self):
+        peers = RecordedPeers()
+        side = SideCore(
+            VirtualClock(VirtualTime()),
+            FakeControl(),
+            peers,
+            RecordedObserver(),
+            lambda: ENGINE,
+        )
+        side.receive_message("10.0.1.1", StreamStarted(7, "engines", "v1", 8))
+        side.receive_message("10.0.1.1", StreamStarted(9, "engines", "v" * 1000, 10))
+        queries = [StreamOriginQuery(1, 7), StreamOriginQuery(2, 0, 8)]
+        queries += [StreamOriginQuery(3, 9), StreamOriginQuery(4, 5, 8)]
+        for query in queries:
+            side.receive_message("10.0.1.2", query)
+        known = [StreamOriginReply(number, "engines", "v1") for number in (1, 2)]
+        unknown = [StreamOriginReply(number) for number in (3, 4)]
+        self.assertEqual(peers.sent, [("10.0.1.2", each) for each in known + unknown])
+        self.assertEqual(side.count_streams(), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/gateway/tests/test_stream_versions.py
+++ b/libs/gateway/tests/test_stream_versions.py
@@ -12,14 +12,16 @@
 from balsamspoke_gateway.messages import EntryDemand
 from balsamspoke_gateway.side import SideCore
 from balsamspoke_gateway.stream_versions import (
+    StreamKeys,
     StreamOrigin,
     StreamOriginQuery,
     StreamOriginReply,
     StreamStarted,
+    make_stream_keys,
 )
 from balsamspoke_gateway.stream_versions import records as stream_records
 from balsamspoke_gateway.stream_versions.history import VersionHistory
-from balsamspoke_gateway.stream_versions.records import StreamRecords, make_stream_key
+from balsamspoke_gateway.stream_versions.records import StreamRecords
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -31,7 +33,8 @@
 
 PEERS = ["10.0.1.2", "10.0.1.3", "10.0.1.4", "10.0.1.5"]
 V1 = StreamOrigin("engines", "v1")
-KEY = make_stream_key("", "first")
+BODY = b"what the caller asks for"
+KEY = make_stream_keys("", "first", "").request
 
 
 class ResumptionTests(unittest.TestCase):
@@ -52,7 +55,7 @@
 
     def resume(self, **others):
         others.setdefault("resumed_id", "first")
-        sink, _ = self.world.send("resumable", last_event_id=2, **others)
+        sink, _ = self.world.send("resumable", last_event_id=2, body=BODY, **others)
         return sink
 
     def list_sent(self, kind):
@@ -75,21 +78,21 @@
 
     def test_a_stream_that_a_holder_knows_goes_on_at_its_version(self):
         for version in ("v1", "v2"):
-            for known_by in range(3):
+            for known_by in range(4):
                 self.world.client.sent.clear()
                 sink = self.resume()
-                replies = [None] * 3
+                replies = [None] * 4
                 replies[known_by] = StreamOrigin("engines", version)
-                self.assertEqual(self.answer_queries(*replies), 3)
+                self.assertEqual(self.answer_queries(*replies), 4)
                 self.assertEqual(self.list_receivers(), [version])
                 self.assertEqual(sink.status, 200)
 
     def test_a_stream_that_nobody_knows_is_refused_as_soon_as_all_say_so(self):
         sink = self.resume()
-        self.answer_queries(None, None)
+        self.answer_queries(None, None, None)
         self.assertFalse(sink.is_started)
         sink = self.resume()
-        self.answer_queries(None, None, None)
+        self.answer_queries(None, None, None, None)
         self.assertIsInstance(sink.refusal, StreamNotResumable)
         self.assertEqual(self.list_receivers(), [])
 
@@ -99,11 +102,42 @@
         self.assertIsInstance(sink.refusal, StreamNotResumable)
         self.assertEqual(self.versions.count_pending(), 0)
 
-    def test_a_stream_whose_first_request_is_not_named_is_refused(self):
+    def test_a_stream_whose_first_request_is_not_named_is_known_by_its_content(self):
+        self.world.send("resumable", request_id="first", body=BODY)
+        (began_at,) = self.list_receivers()
         for resumed_id in (None, ""):
             sink = self.resume(resumed_id=resumed_id)
+            self.assertEqual(sink.status, 200)
+        self.assertEqual(self.list_receivers(), [began_at] * 3)
+
+    def test_it_is_refused_if_nobody_knows_its_content(self):
+        for resumed_id in (None, ""):
+            sink = self.resume(resumed_id=resumed_id)
+            self.answer_queries(None, None, None, None)
             self.assertIsInstance(sink.refusal, StreamNotResumable)
-        self.assertEqual(self.list_sent(StreamOriginQuery), [])
+
+    def test_it_is_refused_if_streams_of_its_content_began_at_two_versions(self):
+        (_, query), *_ = self.ask_for_content()
+        for version in ("v1", "v2"):
+            started = StreamStarted(0, "engines", version, query.content)
+            self.versions.receive(PEERS[0], started)
+        sink = self.resume(resumed_id=None)
+        self.world.pass_time(0.2)
+        self.assertIsInstance(sink.refusal, StreamNotResumable)
+
+    def test_content_does_not_count_where_the_caller_names_another_request(self):
+        (_, query), *_ = self.ask_for_content()
+        started = StreamStarted(0, "engines", "v1", query.content)
+        self.versions.receive(PEERS[0], started)
+        sink = self.resume()
+        self.world.pass_time(0.2)
+        self.assertIsInstance(sink.refusal, StreamNotResumable)
+
+    def ask_for_content(self):
+        """Return the questions that a resumption without a request's id brings."""
+        self.resume(resumed_id=None)
+        self.world.pass_time(0.2)
+        return self.list_sent(StreamOriginQuery)
 
     def test_a_stream_is_refused_at_once_if_its_version_has_gone(self):
         self.versions.receive(PEERS[0], StreamStarted(KEY, "engines", "v0"))
@@ -151,22 +185,24 @@
         self.assertEqual(self.resume().status, 200)
         self.assertEqual(self.list_receivers(), ["v1"])
 
-    def test_two_holders_are_told_of_a_stream_before_its_first_event(self):
+    def test_three_holders_are_told_of_a_stream_before_its_first_event(self):
         self.world.send("resumable", request_id="first")
         told = self.list_sent(StreamStarted)
-        self.assertEqual(len({ip for ip, _ in told}), 2)
+        holders = {ip for ip, _ in told}
+        self.assertEqual(len(holders), 3)
+        self.assertEqual(len(holders - set(PEERS)), 2)
         self.assertEqual({each.stream for _, each in told}, {KEY})
         self.assertEqual({each.version for _, each in told}, set(self.list_receivers()))
 
     def test_the_processes_that_are_asked_include_those_that_were_told(self):
-        self.world.send("resumable", request_id="first")
+        self.world.send("resumable", request_id="first", body=BODY)
         told = {ip for ip, _ in self.list_sent(StreamStarted)}
         asker = World(ip=PEERS[3])
         now = asker.clock.monotonic()
         peers = ["10.0.1.1", *PEERS[:3]]
         asker.context.peer_activity.set_peers(peers, seconds(100), now)
-        asker.add(make_record("v1", "engines"))
-        asker.send("resumable", last_event_id=2, resumed_id="first")
+        asker.add(make_record("v1", "engines"), make_record("v2", "engines", 2))
+        asker.send("resumable", last_event_id=2, resumed_id="first", body=BODY)
         asked = {ip for ip, _ in asker.peers.sent}
         self.assertLessEqual(told - {PEERS[3]}, asked)
 
@@ -177,10 +213,9 @@
         self.assertEqual(self.list_sent(StreamStarted), [])
 
     def test_a_team_does_not_change_what_is_known_of_another_ones_streams(self):
-        self.assertNotEqual(
-            make_stream_key("a", "first"), make_stream_key("b", "first")
-        )
-        self.assertIsNone(make_stream_key("a", ""))
+        keys = [make_stream_keys(team, "first", "") for team in ("a", "b")]
+        self.assertNotEqual(keys[0].request, keys[1].request)
+        self.assertEqual(make_stream_keys("a", "", "").request, 0)
 
     @examples(50)
     @given(st.integers(), st.integers(), st.none() | st.text(max_size=3))
@@ -262,17 +297,46 @@
     def test_streams_go_on_where_there_was_one_version_all_the_time(self):
         self.assertEqual(self.resume().status, 200)
 
-    def test_also_soon_after_the_start_if_no_request_is_named(self):
-        world = EntryWorld()
-        self.world = world
-        world.configure(1)
+    def start(self, **settings):
+        """Start a process at a store that knows v1; return its world."""
+        self.world = EntryWorld(**settings)
+        self.world.configure(1)
         self.write("v1", 1)
-        world.core.start()
-        self.live(seconds(6))
-        world.client.script("v1", Answer(pieces=EVENTS[2:]))
+        self.world.core.start()
+        self.live(seconds(1))
+        self.world.client.script("v1", *[Answer(pieces=EVENTS[2:])] * 5)
+        return self.world
+
+    def resume_unnamed(self, world):
         sink, _ = world.send("resumable", last_event_id=2)
+        world.pass_time(0.2)
+        return sink
+
+    def test_also_soon_after_the_first_start_if_no_request_is_named(self):
+        world = self.start(is_first_start=True)
+        world.send("resumable")
+        sink = self.resume_unnamed(world)
+        self.assertEqual(sink.status, 200)
+
+    def test_also_soon_after_the_start_of_a_process_that_reads_the_register(self):
+        store = self.start(is_first_start=True).store
+        self.world.send("resumable")
+        world = self.start(store=store)
+        sink = self.resume_unnamed(world)
         self.assertEqual(sink.status, 200)
 
+    def test_not_for_a_lifetime_if_the_store_has_no_register(self):
+        for has_started in (False, True):
+            world = self.start()
+            if has_started:
+                world.send("resumable")
+            self.live(seconds(27))
+            sink = self.resume_unnamed(world)
+            self.assertIsInstance(sink.refusal, StreamNotResumable)
+            self.live(seconds(4))
+            sink = self.resume_unnamed(world)
+            self.assertEqual(sink.status, 200)
+
     def test_not_while_the_store_is_silent(self):
         self.world.store.go_away()
         self.world.pass_time(4)
@@ -307,10 +371,10 @@
         self.assertEqual(self.world.client.sent[-1][0], "v2")
 
     def test_running_streams_are_told_of_once_a_second_version_appears(self):
-        context = self.world.context
+        context = self.start(is_first_start=True).context
         now = self.world.clock.monotonic()
         context.peer_activity.set_peers(PEERS, seconds(1000), now)
-        self.world.client.script("v1", Answer(pieces=EVENTS[:1], goes_silent=True))
+        self.world.client.answers["v1"] = [Answer(pieces=EVENTS[:1], goes_silent=True)]
         self.world.send("resumable", request_id="first", caller_timeout=50)
         self.assertEqual(self.list_told(), set())
         self.write("v2", 2)
@@ -326,12 +390,12 @@
     def test_the_oldest_stream_is_forgotten_first(self):
         records = StreamRecords()
         for number in range(stream_records.MAX_RECORDS + 1):
-            records.put(number, V1, seconds(number))
-        self.assertIsNone(records.find(0))
-        self.assertEqual(records.find(1), V1)
+            records.put(StreamKeys(number + 1, 0), V1, seconds(number))
+        self.assertIsNone(records.find(StreamKeys(1, 0)))
+        self.assertEqual(records.find(StreamKeys(2, 0)), V1)
         records.expire(seconds(5))
-        self.assertIsNone(records.find(4))
-        self.assertEqual(records.find(5), V1)
+        self.assertIsNone(records.find(StreamKeys(5, 0)))
+        self.assertEqual(records.find(StreamKeys(6, 0)), V1)
 
     def test_a_process_knows_no_version_of_the_time_before_it_followed(self):
         history = VersionHistory()
--- a/libs/gateway/tests/test_streams.py
+++ b/libs/gateway/tests/test_streams.py
@@ -11,8 +11,7 @@
 from balsamspoke_gateway.fleet.replicas import HeldModel
 from balsamspoke_gateway.messages import ReplicaState
 from balsamspoke_gateway.observing import AttemptEnded, StreamResumed
-from balsamspoke_gateway.stream_versions import StreamStarted
-from balsamspoke_gateway.stream_versions.records import make_stream_key
+from balsamspoke_gateway.stream_versions import StreamStarted, make_stream_keys
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -106,7 +105,8 @@
         self.world.client.script("a", Answer(pieces=EVENTS[2:]))
         self.world.client.script("b", Answer(pieces=EVENTS[2:]))
         self.world.context.versions.announce("base", "a1", 2)
-        origin = StreamStarted(make_stream_key("", "first"), "engines", "")
+        key = make_stream_keys("", "first", "").request
+        origin = StreamStarted(key, "engines", "")
         self.world.context.stream_versions.receive("10.0.1.2", origin)
         sink, _ = self.world.send(
             "resumable", "a1", last_event_id=2, resumed_id="first"
--- a/libs/gateway/tests/world.py
+++ b/libs/gateway/tests/world.py
@@ -124,16 +124,25 @@
         IP address of the process.
     domain_drain_time : timedelta or None
         Bound of the settings for drained failure domains.
+    is_first_start : bool
+        Whether the settings say that the whole system starts for the first time.
     """
 
-    def __init__(self, time=None, ip="10.0.1.1", domain_drain_time=None):
+    def __init__(
+        self, time=None, ip="10.0.1.1", domain_drain_time=None, is_first_start=False
+    ):
         self.time = time or VirtualTime()
         self.clock = VirtualClock(self.time)
         self.client = ScriptedClient()
         self.peers = RecordedPeers()
         self.observer = RecordedObserver()
         settings = GatewaySettings(
-            ip, ip, "north", retry_extra=50.0, domain_drain_time=domain_drain_time
+            ip,
+            ip,
+            "north",
+            retry_extra=50.0,
+            domain_drain_time=domain_drain_time,
+            is_first_start=is_first_start,
         )
         self.context = GatewayContext(
             settings,
