--- a/tools/compare_days.py
+++ b/tools/compare_days.py
@@ -101,7 +101,8 @@
             f"{Path(day).stem:28} seed {seed:4} "
             f"worth {before.worth:.3f} {after.worth:.3f} "
             f"served {before.served:.3f} {after.served:.3f} "
-            f"worst {before.worst:.2f} {after.worst:.2f}"
+            f"worst {before.worst:.2f} {after.worst:.2f}",
+            flush=True,
         )
         for name, result in (("before", before), ("after", after)):
             if "|" in result.notes:
