Spread refused callers over the length of a shortage

Cause: callers refused for a predicted wait, for prefill or for an adapter were told to return within 0.3 to 1.6 s.

Change: they return over a time as long as the shortage has lasted so far, at most a third of their time left, for which callers wait at all.

--- a/libs/gateway/src/balsamspoke_gateway/placement/selection.py
+++ b/libs/gateway/src/balsamspoke_gateway/placement/selection.py
@@ -298,5 +298,7 @@
         if self._progress.possible_runs:
             return TimedOut("the time for the answer is over")
         # The jitter keeps the callers from returning all at once.
-        delay = self._forwarding.route.objective * (1 + self._context.draw())
+        earliest = self._forwarding.route.objective * (1 + self._context.draw())
+        scheduling = self._context.scheduling
+        delay = scheduling.find_capacity_return(self._forwarding, earliest)
         return Overloaded("the adapter was not loaded in time", delay)
--- a/libs/gateway/src/balsamspoke_gateway/scheduling/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/scheduling/coordinator.py
@@ -8,6 +8,7 @@
 from .patience import compute_longest_wait, find_most_urgent
 from .return_times import ReturnTimes
 from .shares import TeamShares, WaitRatios
+from .shortages import CapacityReturns
 from .work_reports import REPORT_INTERVAL, REPORT_LIFETIME, choose_recipients
 
 # Retry-after time of requests that are refused for lack of capacity.
@@ -27,6 +28,7 @@
         self._context = context
         self._shares = TeamShares()
         self._return_times = ReturnTimes(context.draw)
+        self._capacity_returns = CapacityReturns(context.draw)
         self._most_urgent = {}
         self._most_urgent_of = None
         self._limited = ()
@@ -63,15 +65,33 @@
             forwarding.progress.is_scheduled = True
             is_admitted = self._admit(forwarding, wait, longest, candidates)
         if not is_admitted:
+            earliest = max(BUSY_RETRY_AFTER, wait - longest)
             raise Overloaded(
                 f"a wait of {wait.total_seconds():.3f} s is predicted",
-                max(BUSY_RETRY_AFTER, wait - longest),
+                self.find_capacity_return(forwarding, earliest),
             )
 
     def is_most_urgent(self, forwarding):
         """Return whether no request of a Forwarding's service is more urgent."""
         return forwarding.priority <= self._find_most_urgent(forwarding.service)
 
+    def find_capacity_return(self, forwarding, earliest):
+        """Return the time after which a caller may find capacity at the service.
+
+        Parameters
+        ----------
+        forwarding : Forwarding
+            The request that is refused.
+        earliest : timedelta
+            Shortest time after which there may be room.
+        """
+        return self._capacity_returns.choose(
+            forwarding.service,
+            earliest,
+            forwarding.time_left(),
+            self._context.clock.monotonic(),
+        )
+
     def find_limit_return(self, team, tokens, error):
         """Return the time after which a caller may find its team within its limit.
 
