Split what a side process tells entry processes from its control loop

side.py had grown to 357 lines, half of one function that summed demands, decided who is told and built the message. The decisions stand in state_reports.py now, one step a function. No behaviour is changed.

--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -1,6 +1,5 @@
 """Core of a side process, which sends orders to the replica on its VM."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 
 from balsamspoke_types.timing import sleep
@@ -10,7 +9,7 @@
 from .adapters.load_times import AdapterLoadTimes
 from .adapters.model_loads import ModelLoadMonitor
 from .adapters.plan import AdapterPlan
-from .adapters.report_intervals import IDLE_INTERVAL, choose_report_interval
+from .adapters.report_intervals import choose_report_interval
 from .admission.controller import AdmissionController
 from .admission.messages import (
     AdmissionCancellation,
@@ -19,7 +18,7 @@
 )
 from .exceptions import NO_DELAY, AttemptError, ReplicaBusy
 from .fleet.holds import MAX_HOLD
-from .messages import EntryDemand, ReplicaState
+from .messages import EntryDemand
 from .observing import (
     AdaptersRefused,
     BackoffRequested,
@@ -27,44 +26,17 @@
     ProgramFailed,
 )
 from .peers.bounds import bound_demand
-from .peers.pacing import MIN_INTERVAL, choose_interval
 from .replica_speed.engine import EngineSpeed
-from .scheduling.backlogs import UnreadPrompts
+from .state_reports import StateReporter
 from .store.reachability import Reachability
 from .stream_versions import StreamOriginHolder
 
 # Interval after an order: the effect is read soon, but not in a busy loop.
 ORDER_INTERVAL = timedelta(milliseconds=4)
 
-# Reports in a row in which entry processes are told of a restart at once: a message may
-# be lost, and many processes would wait seconds for the next one.
-RESTART_NOTICES = 3
-
 _REPLICA = "replica"
 
 
-@dataclass(frozen=True, slots=True)
-class _SentState:
-    """The last state sent to an entry process.
-
-    Attributes
-    ----------
-    sent_at : timedelta
-        Monotonic time.
-    content : tuple
-        What is sent soon after it has changed.
-    born : int
-        Start time of the replica in milliseconds.
-    notices_left : int
-        Further times that the process is told of this start at once.
-    """
-
-    sent_at: timedelta
-    content: tuple
-    born: int
-    notices_left: int = 0
-
-
 class SideCore:
     """Load the adapters that entry processes want, and send them the replica's state.
 
@@ -94,7 +66,6 @@
         self._plan = AdapterPlan()
         self._report = None
         self._reachability = Reachability(_REPLICA, clock, observer)
-        self._last_sent = {}
         self._wakeup = None
         self._load_times = AdapterLoadTimes()
         self._model_loads = ModelLoadMonitor()
@@ -102,6 +73,9 @@
         self._refused_adapters = ()
         self._backoff_ends = clock.monotonic()
         self._speed = EngineSpeed()
+        self._state_reporter = StateReporter(
+            clock, peers, self._plan, self._admission, self._load_times, self._speed
+        )
         self._streams = StreamOriginHolder(clock, peers.send)
 
     @property
@@ -215,8 +189,9 @@
         self._load_times.record_report(self._report, now)
         self._plan.record_report(self._report, now)
         self._report_refused_adapters(now)
-        self._send_states()
         engine = self._find_engine()
+        model_wait = self._model_loads.predict_wait(engine, now)
+        self._state_reporter.send(self._report, model_wait)
         if engine is None:
             return False
         now = self._clock.monotonic()
@@ -256,99 +231,3 @@
             )
         )
         return True
-
-    def _send_states(self):
-        """Send the state to entry processes whose update is due or demand is met.
-
-        Demand is met if the replica holds at least one of the wanted adapters. A
-        restart is sent at once to all, and so before the replica is ordered to load its
-        model: until then they believe that it has its earlier software version.
-        """
-        now = self._clock.monotonic()
-        demands = self._plan.list_demands(now)
-        interval = choose_interval(len(demands))
-        # A change is sent at once to few entry processes, and with a delay to many.
-        change_interval = interval - MIN_INTERVAL
-        report = self._report
-        content = (report.models, report.pending, report.is_leaving)
-        model_wait = self._model_loads.predict_wait(self._find_engine(), now)
-        in_flight = sum(each.in_flight for each in demands.values())
-        unread = sum(each.unread_tokens for each in demands.values())
-        unread_prompts = UnreadPrompts()
-        for demand in demands.values():
-            unread_prompts.add_all(demand.unread_prompts)
-        for entry, demand in demands.items():
-            last = self._last_sent.get(entry)
-            delay = interval if last and last.content == content else change_interval
-            notices = _count_notices(last, report.born)
-            is_due = last is None or notices > 0 or now - last.sent_at >= delay
-            if not is_due and not self._is_demand_met(demand, last, now):
-                continue
-            notices_left = max(0, notices - 1)
-            self._last_sent[entry] = _SentState(now, content, report.born, notices_left)
-            others_unread_prompts = UnreadPrompts(unread_prompts.list())
-            others_unread_prompts.subtract_all(demand.unread_prompts)
-            state = ReplicaState(
-                report.born,
-                report.models,
-                report.pending,
-                report.running,
-                report.waiting,
-                self._plan.count_wanted(report),
-                in_flight - demand.in_flight,
-                unread - demand.unread_tokens,
-                interval.total_seconds(),
-                self._admission.queued_tokens,
-                self._admission.is_required,
-                self._load_times.estimate.total_seconds(),
-                model_wait.total_seconds(),
-                report.is_leaving,
-                self._plan.list_refused(now),
-                others_unread_prompts=others_unread_prompts.list(),
-            )
-            state = self._speed.add_to_state(state, entry, last is None, now)
-            self._peers.send(entry, state)
-        for entry in set(self._last_sent) - set(demands):
-            del self._last_sent[entry]
-        self._speed.retain(demands)
-
-    def _is_demand_met(self, demand, last, now):
-        """Return whether to tell an entry process that it can have what it wants.
-
-        It is told once that the replica holds a wanted adapter, and again after a time
-        if it still wants it: a message may be lost.
-
-        Parameters
-        ----------
-        demand : EntryDemand
-            Demand of the entry process.
-        last : _SentState
-            The last state sent to it.
-        now : timedelta
-            Monotonic time.
-        """
-        told = last.content[0] if now - last.sent_at < IDLE_INTERVAL else {}
-        return any(
-            _holds(self._report.models, each) and not _holds(told, each)
-            for each in demand.wanted
-        )
-
-
-def _holds(models, wanted):
-    """Return whether models, with their adapters' versions, have a WantedAdapter."""
-    return models.get(wanted.model, {}).get(wanted.adapter, -1) >= wanted.version
-
-
-def _count_notices(last, born):
-    """Return how often a process is still to be told of a start of the replica.
-
-    Parameters
-    ----------
-    last : _SentState or None
-        The last state sent to the process; None if there is none.
-    born : int
-        Start time of the replica in milliseconds.
-    """
-    if last is None:
-        return 0
-    return last.notices_left if last.born == born else RESTART_NOTICES
