--- a/libs/gateway/src/balsamspoke_gateway/admission/controller.py
+++ b/libs/gateway/src/balsamspoke_gateway/admission/controller.py
@@ -42,6 +42,11 @@
         """Tokens of all queued prompts."""
         return self._queue.tokens
 
+    @property
+    def time_per_token(self):
+        """Time (timedelta) that the replica takes to read a prompt token."""
+        return timedelta(seconds=self._speed.seconds_per_token)
+
     @property
     def is_required(self):
         """Whether entry processes are to request admission of their prompts."""
--- a/libs/gateway/src/balsamspoke_gateway/side.py
+++ b/libs/gateway/src/balsamspoke_gateway/side.py
@@ -16,6 +16,7 @@
     AdmissionRequest,
     PrefillEnded,
 )
+from .engine_status import EngineStatus
 from .exceptions import NO_DELAY, AttemptError, ReplicaBusy
 from .fleet.holds import MAX_HOLD
 from .messages import EntryDemand
@@ -88,6 +89,22 @@
         """Tokens of the prompts that wait for admission."""
         return self._admission.queued_tokens
 
+    @property
+    def engine_status(self):
+        """EngineStatus of the replica; None if it has not reported yet."""
+        report = self._report
+        if report is None:
+            return None
+        demands = self._plan.list_demands(self._clock.monotonic()).values()
+        unread = sum(each.unread_tokens for each in demands)
+        return EngineStatus(
+            report.running,
+            len({name for each in demands for name in each.in_use}),
+            self._plan.count_wanted(report),
+            unread * self._admission.time_per_token,
+            self._admission.is_required,
+        )
+
     def count_streams(self):
         """Return the number of streams whose origin is kept for entry processes."""
         return len(self._streams)
--- a/libs/gateway/tests/test_side.py
+++ b/libs/gateway/tests/test_side.py
@@ -326,6 +326,27 @@
         self.assertEqual(names, ["DependencyLost", "DependencyRegained"])
 
 
+class EngineStatusTests(unittest.TestCase):
+    def test_it_tells_slots_in_use_adapters_wanted_and_the_prefill_backlog(self):
+        clock = VirtualClock(VirtualTime())
+        control = FakeControl()
+        control.loads_at_once = False
+        side = SideCore(
+            clock, control, RecordedPeers(), RecordedObserver(), lambda: ENGINE
+        )
+        self.assertIsNone(side.engine_status)
+        side.start()
+        wanted = (WantedAdapter(MODEL, "a1", 0),)
+        demand = EntryDemand(wanted, ("a2", "a3"), unread_tokens=1000)
+        side.receive_message("10.0.1.1", demand)
+        side.receive_message("10.0.1.2", EntryDemand((), ("a3",), unread_tokens=500))
+        status = side.engine_status
+        self.assertEqual(status.adapters_in_use, 2)
+        self.assertEqual(status.adapters_wanted, 1)
+        self.assertGreater(status.prefill_backlog, timedelta(0))
+        self.assertFalse(status.is_prefill_limited)
+
+
 class StreamHolderTests(unittest.TestCase):
     def test_a_side_process_tells_where_streams_began_that_it_was_told_of(self):
         peers = RecordedPeers()
