--- a/libs/gateway/tests/test_version_register.py
+++ b/libs/gateway/tests/test_version_register.py
@@ -109,6 +109,10 @@
         self.live(10)
         self.assertTrue(self.register.is_reliable(0))
 
+    def test_a_complete_register_counts_only_in_its_era(self):
+        self.assertTrue(self.register.is_reliable(0))
+        self.assertFalse(self.register.is_reliable(1))
+
     def test_the_lifetime_never_shrinks(self):
         self.register = replace(self.register, lifetime=seconds(120))
         self.live(100)
