Don't believe a register of versions that was read before the store failed

Cause, found in review: a resumption whose read of the register failed used the one that was read up to 45 s before, so a process that is cut off could join a stream with a version that came meanwhile. An object that can't be read was replaced by a complete register at the first start of all, and an answer that came late could replace a newer one. A recall of a prompt that crashes replicas was lost while its first event waited for the register.

Change: a read that fails tells nothing; a register in place of an unreadable one is incomplete; late answers are dropped; the wait for the register can be recalled.

Measured: two tests failed before.

--- a/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 from balsamspoke_types.timing import add_timeout
-from twisted.internet.defer import CancelledError
+from twisted.internet.defer import CancelledError, Deferred
 
 from ..admission.messages import PrefillEnded
 from ..exceptions import (
@@ -289,7 +289,7 @@
                 break
             events = splitter.add(piece)
             if events and self._first_event_at is None:
-                await self._forwarding.register_version(self._record)
+                await self._register_version()
             self._forward_events(answer, events)
             if splitter.is_too_long:
                 raise AnswerLost("the stream has an event without an end")
@@ -305,6 +305,11 @@
         sink.finish()
         self._record_success(answer)
 
+    async def _register_version(self):
+        registering = self._forwarding.register_version(self._record)
+        self._reading = Deferred.fromCoroutine(registering)
+        await self._reading
+
     async def _wait_for_caller(self):
         """Leave the rest of the answer unread until the caller has read on.
 
--- a/libs/gateway/src/balsamspoke_gateway/stream_versions/registration.py
+++ b/libs/gateway/src/balsamspoke_gateway/stream_versions/registration.py
@@ -118,13 +118,16 @@
             self._is_reading = True
             self._run(self._serve_readers())
         try:
-            await add_timeout(waiter, self._clock, MAX_READ_TIME, AnswerOverdue())
+            stored = await add_timeout(
+                waiter, self._clock, MAX_READ_TIME, AnswerOverdue()
+            )
         except AnswerOverdue:
             return None
         finally:
             if waiter in self._readers:
                 self._readers.remove(waiter)
-        return self.find_versions(service)
+        # What was read before may be out of date.
+        return None if stored is None else self.find_versions(service)
 
     @property
     def _is_recent(self):
@@ -133,7 +136,10 @@
         return self._clock.monotonic() - self._read_at < REGISTRATION_LIFETIME
 
     async def _serve_readers(self):
-        """Read for all who wait; each read begins after they have asked."""
+        """Read for all who wait; each read begins after they have asked.
+
+        They get the StoredRegister, or None if the store fails.
+        """
         try:
             while self._readers:
                 readers, self._readers = self._readers, []
@@ -152,6 +158,9 @@
         return stored
 
     def _adopt(self, register, era, read_at):
+        if self._read_at is not None and read_at < self._read_at:
+            # An answer that came late.
+            return
         self._register, self._register_era = register, era
         self._read_at = read_at
         if register is not None:
@@ -191,7 +200,7 @@
         while not all(self.is_registered(*each) for each in wanted):
             began_at = self._clock.monotonic()
             stored = await self._read()
-            register = stored.register or self._make_register(stored.era)
+            register = stored.register or self._make_register(stored)
             lifetime = max(register.lifetime, self._lifetime.value)
             changed = replace(register, lifetime=lifetime)
             for service, version in wanted:
@@ -207,10 +216,14 @@
             self._wanted.pop(each, None)
         return True
 
-    def _make_register(self, era):
-        """Return the first register; it is complete if no stream can have begun."""
-        is_complete = self._context.settings.is_first_start and not self._has_restored
-        return VersionRegister(is_complete=is_complete, era=era)
+    def _make_register(self, stored):
+        """Return the first register; it is complete if no stream can have begun.
+
+        An object that can't be read shows that there was a register.
+        """
+        is_first = self._context.settings.is_first_start and not stored.revision
+        is_complete = is_first and not self._has_restored
+        return VersionRegister(is_complete=is_complete, era=stored.era)
 
     async def _maintain(self):
         await sleep(self._clock, READ_SPREAD * self._context.draw())
--- a/libs/gateway/tests/test_stream_versions.py
+++ b/libs/gateway/tests/test_stream_versions.py
@@ -342,6 +342,15 @@
         self.world.pass_time(4)
         self.assertIsInstance(self.resume().refusal, StreamNotResumable)
 
+    def test_nor_by_a_register_that_was_read_before_the_store_fell_silent(self):
+        world = self.start(is_first_start=True)
+        world.send("resumable")
+        self.assertEqual(self.resume_unnamed(world).status, 200)
+        world.store.go_away()
+        world.pass_time(4)
+        sink = self.resume_unnamed(world)
+        self.assertIsInstance(sink.refusal, StreamNotResumable)
+
     def test_also_soon_after_a_short_failure_of_the_store(self):
         self.world.store.go_away()
         self.world.pass_time(1)
--- a/libs/gateway/tests/test_version_register.py
+++ b/libs/gateway/tests/test_version_register.py
@@ -200,6 +200,13 @@
         self.begin(world)
         self.assertFalse(self.read().is_complete)
 
+    def test_a_register_in_place_of_an_unreadable_one_is_not_complete(self):
+        self.store = FakeStore()
+        world = self.start(is_first_start=True)
+        self.store.write("stream versions", "all", (None, self.store.revision + 1))
+        self.begin(world)
+        self.assertFalse(self.read().is_complete)
+
     def test_a_store_that_refuses_writes_delays_one_event_at_most(self):
         self.store.refuses_registers = True
         self.assertLessEqual(self.begin(), 0.1)
