Give the choice of holders and of return times modules named for it

Cause, from reading the diff as a newcomer: the coordinator of stream versions also ranked processes, and CapacityReturns stood in a module of another name.

Change: names and places only; no decision is changed, nothing was measured.

--- a/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
@@ -306,6 +306,7 @@
         self._record_success(answer)
 
     async def _register_version(self):
+        """Register the replica's software version; ``recall`` also ends this wait."""
         registering = self._forwarding.register_version(self._record)
         self._reading = Deferred.fromCoroutine(registering)
         await self._reading
--- a/libs/gateway/src/balsamspoke_gateway/scheduling/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/scheduling/coordinator.py
@@ -4,11 +4,11 @@
 
 from ..exceptions import Overloaded
 from ..observing import TeamsLimited
+from .capacity_returns import CapacityReturns
 from .messages import WorkReport
 from .patience import compute_longest_wait, find_most_urgent
 from .return_times import ReturnTimes
 from .shares import TeamShares, WaitRatios
-from .shortages import CapacityReturns
 from .work_reports import REPORT_INTERVAL, REPORT_LIFETIME, choose_recipients
 
 # Retry-after time of requests that are refused for lack of capacity.
--- a/libs/gateway/src/balsamspoke_gateway/stream_versions/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/stream_versions/coordinator.py
@@ -2,9 +2,9 @@
 
 from twisted.internet.defer import Deferred
 
-from ..rendezvous import rank_names
 from .history import VersionHistory
 from .holder import StreamOriginHolder
+from .holder_selection import HolderSelection
 from .inquiry import StreamOriginInquiry
 from .lifetime import StreamLifetime
 from .messages import StreamOriginReply, StreamStarted
@@ -12,15 +12,6 @@
 from .registration import VersionRegistration
 from .upkeep import RegisterUpkeep
 
-# Processes that are told where a stream has started. Side processes go on when all
-# entry processes end.
-SIDE_HOLDERS = 2
-ENTRY_HOLDERS = 1
-# Entry processes that are told if there are no side processes.
-ENTRY_HOLDERS_ALONE = 2
-# One more is asked than was told: the sender of a notice is no holder of it, and a
-# process that came back since ranks before one that was told.
-EXTRA_ASKED = 1
 # Seconds without an answer of the store after which a replica of another version may
 # have gone unseen. Replicas write their entries every second or so.
 MAX_STORE_SILENCE = 3.0
@@ -51,6 +42,7 @@
         self._unannounced = {}
         self._holder = StreamOriginHolder(self._clock, self._send)
         self._inquiry = StreamOriginInquiry(self._clock, self._send)
+        self._selection = HolderSelection(context)
 
     @property
     def lifetime(self):
@@ -175,7 +167,7 @@
         if origin is not None:
             return origin
         reading = Deferred.fromCoroutine(self._read_only_version(service))
-        origin = await self._inquiry.ask(keys, self._choose_asked(keys))
+        origin = await self._inquiry.ask(keys, self._selection.choose_asked(keys))
         if origin is not None:
             return origin
         version = await reading
@@ -269,43 +261,8 @@
         message = StreamStarted(
             keys.request, origin.service, origin.version, keys.content
         )
-        for ip in self._choose_holders(keys):
+        for ip in self._selection.choose_told(keys):
             self._send(ip, message)
 
-    def _choose_holders(self, keys):
-        """Return the IP addresses of the processes that are told of a stream."""
-        sides, entries = self._rank_processes(keys)
-        if not sides:
-            return entries[:ENTRY_HOLDERS_ALONE]
-        return sides[:SIDE_HOLDERS] + entries[:ENTRY_HOLDERS]
-
-    def _choose_asked(self, keys):
-        """Return the IP addresses of the processes that may have been told."""
-        sides, entries = self._rank_processes(keys)
-        if not sides:
-            return entries[: ENTRY_HOLDERS_ALONE + EXTRA_ASKED]
-        asked_sides = sides[: SIDE_HOLDERS + EXTRA_ASKED]
-        return asked_sides + entries[: ENTRY_HOLDERS + EXTRA_ASKED]
-
-    def _rank_processes(self, keys):
-        """Return IP addresses of side and of entry processes, best holders first."""
-        now = self._clock.monotonic()
-        entries = self._context.peer_activity.list_heard(now)
-        return (
-            rank_names(keys.content, self._list_sides()),
-            rank_names(keys.content, entries),
-        )
-
-    def _list_sides(self):
-        """Return the IP addresses (set) of the side processes of all engines."""
-        configuration = self._context.configuration
-        if configuration is None:
-            return set()
-        return {
-            each.ip
-            for each in self._context.fleet.directory.list_all()
-            if not each.is_leaving and configuration.has_engine(each.service)
-        }
-
     def _send(self, ip, message):
         self._context.peers.send(ip, message)
--- a/libs/gateway/tests/test_shortages.py
+++ b/libs/gateway/tests/test_capacity_returns.py
@@ -2,7 +2,7 @@
 import random
 import unittest
 
-from balsamspoke_gateway.scheduling.shortages import CapacityReturns
+from balsamspoke_gateway.scheduling.capacity_returns import CapacityReturns
 
 from .world import seconds
 
