Count a crash of a replica whose entry is gone before its connections break

Cause: a crash counts only where the replica was staying, and that was asked once the check of its port had ended.

Change: a replica whose entry was removed without a word goes on for the drain time; one that refuses connections before has crashed.

--- a/libs/gateway/src/balsamspoke_gateway/fleet/fleet.py
+++ b/libs/gateway/src/balsamspoke_gateway/fleet/fleet.py
@@ -210,10 +210,26 @@
         now = self._clock.monotonic()
         return self.backoffs.find_time_left(record, now) is None
 
-    def is_staying(self, record):
-        """Return whether a replica is still listed and not leaving."""
+    def is_serving(self, record, drain_time):
+        """Return whether a replica is to serve what it runs, as far as is known.
+
+        One whose entry was removed without a word goes on for the drain time. So if it
+        ends before, it has crashed.
+
+        Parameters
+        ----------
+        record : ReplicaRecord
+            The replica.
+        drain_time : timedelta
+            Time for which a leaving replica serves at least.
+        """
         current = self.directory.find(record.id)
-        return current is not None and not current.is_leaving
+        if current is not None:
+            return not current.is_leaving
+        gone_since = self.directory.find_gone_since(record)
+        if gone_since is None:
+            return False
+        return self._clock.monotonic() - gone_since < drain_time
 
     def find_hold_left(self, service, software_version=None):
         """Return the time until the first replica of a service may get requests.
--- a/libs/gateway/src/balsamspoke_gateway/fleet/replicas.py
+++ b/libs/gateway/src/balsamspoke_gateway/fleet/replicas.py
@@ -174,11 +174,20 @@
             return []
         gone = list(self._missing)
         for replica_id in gone:
-            self._drop(replica_id)
+            self._drop(replica_id, now)
         self._missing.clear()
         self._reindex()
         return gone
 
+    def find_gone_since(self, record):
+        """Return when the entry of a ReplicaRecord was removed, a monotonic timedelta.
+
+        It is None if the entry is still there, is not remembered, or said that the
+        replica was leaving.
+        """
+        key = (record.id, record.born)
+        return None if key in self._leaving else self._gone.get(key)
+
     def find(self, replica_id):
         """Return the ReplicaRecord with an id, or None."""
         return self._records.get(replica_id)
@@ -263,13 +272,13 @@
             if replica_id in self._records:
                 self._missing.add(replica_id)
             return
-        self._drop(replica_id)
+        self._drop(replica_id, now)
 
-    def _drop(self, replica_id):
+    def _drop(self, replica_id, now):
         record = self._records.pop(replica_id, None)
         if record is None:
             return
-        self._gone[record.id, record.born] = None
+        self._gone[record.id, record.born] = now
         if len(self._gone) > MAX_REMEMBERED:
             self._gone.popitem(last=False)
 
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
@@ -131,7 +131,8 @@
     async def _check(self, record, forwarding, report):
         """Report a crash if a replica has crashed, and did not leave."""
         has_crashed = await self._detector.check(record)
-        if not has_crashed or not self._context.fleet.is_staying(record):
+        drain_time = self._context.settings.drain_time
+        if not has_crashed or not self._context.fleet.is_serving(record, drain_time):
             return
         parts = report.suspects[0].parts if report.suspects else ()
         self._observer.observe(
--- a/libs/gateway/tests/engine_fleet.py
+++ b/libs/gateway/tests/engine_fleet.py
@@ -275,6 +275,8 @@
         """End, with all running requests, and start again after some time."""
         self.fleet.crashes.append(self.fleet.seconds)
         self.is_up = False
+        if self.fleet.drops_entries_at_once:
+            self.fleet.store.write("replicas", self.record.id, None)
         running, self.running = list(self.running), {}
         for exchange in running:
             exchange.break_off(self.fleet.make_loss_error())
@@ -384,6 +386,8 @@
         EntryWorlds by IP address.
     sides : dict
         StreamOriginHolders of the side processes by IP address.
+    drops_entries_at_once : bool
+        Whether the entry of an engine that crashes is removed just before.
     loses_messages : bool
         Whether messages between entry processes are lost.
     loss_rate : float
@@ -423,6 +427,7 @@
         self.engines = {}
         self.entries = {}
         self.sides = {}
+        self.drops_entries_at_once = False
         self.loses_messages = False
         self.loss_rate = 0.0
         self.is_cut = lambda sender, receiver: False
--- a/libs/gateway/tests/test_repeated_requests.py
+++ b/libs/gateway/tests/test_repeated_requests.py
@@ -80,6 +80,20 @@
                 fleet.pass_time(6)
                 self.check(fleet, sinks, began)
 
+    def test_also_if_the_entries_of_crashed_replicas_are_gone_at_once(self):
+        # Load pattern: the request comes every few seconds; each process hears of the
+        # removal before the connections of the replica break.
+        for service, route in (("engines", "resumable"), ("plain", "unsafe")):
+            with self.subTest(service=service):
+                fleet = EngineFleet(engines=4, service=service)
+                fleet.drops_entries_at_once = True
+                traffic = {"route": route, "rate": 10}
+                self.run_traffic(fleet, 1, duration=3, bad_rate=0, **traffic)
+                began = fleet.seconds
+                sinks = self.run_traffic(fleet, 2, 60, bad_rate=0.3, **traffic)
+                fleet.pass_time(6)
+                self.check(fleet, sinks, began)
+
     def test_processes_that_start_while_a_request_crashes_engines_refuse_it(self):
         for seed in range(3):
             with self.subTest(seed=seed):
