--- a/tools/compare_days.py
+++ b/tools/compare_days.py
@@ -13,6 +13,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+# Figures of a play that are compared.
+COMPARED_FIGURES = ("worth", "served", "refused", "failed", "worst")
+
 _NUMBER = r"(-?\d+\.\d+)"
 _ROW = re.compile(
     rf"^\S+ +\d+/\d+ +{_NUMBER} +{_NUMBER} +{_NUMBER} +{_NUMBER} +{_NUMBER} +(.*)$",
@@ -83,32 +86,51 @@
     return f"{mean:+.4f} +- {error:.4f}"
 
 
-def compare(options):
-    """Play all days and seeds, and print the results and their differences."""
+def play_pairs(options):
+    """Play all days and seeds on both checkouts; yield them with both results.
+
+    Yields
+    ------
+    tuple of str, int, PlayResult and PlayResult
+        Day, seed, and the results before and after.
+    """
     cases = [(day, seed) for day in options.days for seed in options.seeds]
-    checkouts = (options.before, options.after)
     with ThreadPoolExecutor(options.jobs) as executor:
-        futures = {
-            (day, seed, checkout): executor.submit(play, options, checkout, day, seed)
+        futures = [
+            [
+                executor.submit(play, options, checkout, day, seed)
+                for checkout in (options.before, options.after)
+            ]
             for day, seed in cases
-            for checkout in checkouts
-        }
-    differences = []
-    for day, seed in cases:
-        before, after = (futures[day, seed, each].result() for each in checkouts)
-        differences.append((before, after))
-        print(
-            f"{Path(day).stem:28} seed {seed:4} "
-            f"worth {before.worth:.3f} {after.worth:.3f} "
-            f"served {before.served:.3f} {after.served:.3f} "
-            f"worst {before.worst:.2f} {after.worst:.2f}",
-            flush=True,
-        )
-        for name, result in (("before", before), ("after", after)):
-            if "|" in result.notes:
-                print(f"    {name}: {result.notes}")
-    for name in ("worth", "served", "refused", "failed", "worst"):
-        values = [getattr(b, name) - getattr(a, name) for a, b in differences]
+        ]
+        for (day, seed), (before, after) in zip(cases, futures, strict=True):
+            yield day, seed, before.result(), after.result()
+
+
+def print_pair(day, seed, before, after):
+    """Print the results of one day and seed."""
+    print(
+        f"{Path(day).stem:28} seed {seed:4} "
+        f"worth {before.worth:.3f} {after.worth:.3f} "
+        f"served {before.served:.3f} {after.served:.3f} "
+        f"worst {before.worst:.2f} {after.worst:.2f}",
+        flush=True,
+    )
+    for name, result in (("before", before), ("after", after)):
+        if "|" in result.notes:
+            print(f"    {name}: {result.notes}")
+
+
+def compare(options):
+    """Play all days and seeds, and print the results and their differences."""
+    pairs = []
+    for day, seed, before, after in play_pairs(options):
+        pairs.append((before, after))
+        print_pair(day, seed, before, after)
+    for name in COMPARED_FIGURES:
+        values = [
+            getattr(after, name) - getattr(before, name) for before, after in pairs
+        ]
         print(f"{name:8} {format_spread(values)}")
 
 
