Split the cache of the register from its calls, and keep an era's own begin

Cause, found in review: a register that was incomplete in one era of the store counted that time for the next one if another process had adopted it first, so it was believed too early. Entry processes read the register every 30 s also where no stream may be resumed. registration.py cached, read and wrote.

Change: the begin is kept by era; nothing is read without a route whose streams may be resumed; register_cache holds what is known.

--- a/libs/gateway/src/balsamspoke_gateway/stream_versions/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/stream_versions/coordinator.py
@@ -9,6 +9,7 @@
 from .lifetime import StreamLifetime
 from .messages import StreamOriginReply, StreamStarted
 from .records import StreamOrigin
+from .register_cache import RegisterCache
 from .registration import VersionRegistration
 from .upkeep import RegisterUpkeep
 
@@ -37,6 +38,7 @@
         self._clock = context.clock
         self._history = VersionHistory()
         self._lifetime = StreamLifetime()
+        self._register = RegisterCache(self._clock, self._lifetime)
         self._reachability = None
         self._registration = None
         self._unannounced = {}
@@ -64,6 +66,7 @@
             self._context,
             store,
             RegisterUpkeep(self._history),
+            self._register,
             self._lifetime,
             reachability.record_failure,
         )
@@ -175,9 +178,7 @@
 
     def describe_versions(self, service):
         """Return which versions a stream may have begun at, for logs."""
-        versions = None
-        if self._registration is not None:
-            versions = self._registration.find_versions(service)
+        versions = self._register.find_versions(service)
         if versions is None:
             return "the store doesn't tell which versions it may have begun at"
         listed = self._list_versions(service) | versions
@@ -194,7 +195,7 @@
         """Return the one version that the service has had; None if not certain."""
         if self._registration is None:
             return self._find_followed_version(service)
-        registered = self._registration.find_versions(service)
+        registered = self._register.find_versions(service)
         if registered is None or len(registered) == 1:
             # Several stay so for long; another one may have come since the last read.
             registered = await self._registration.read_versions(service)
@@ -230,9 +231,7 @@
     def _is_only_version(self, origin):
         """Return whether a StreamOrigin is the only one at which streams may begin."""
         service, version = origin.service, origin.version
-        registered = None
-        if self._registration is not None:
-            registered = self._registration.find_versions(service)
+        registered = self._register.find_versions(service)
         if registered is not None and version not in registered:
             return False
         return self._choose_only(service, registered) == version
--- a/libs/gateway/src/balsamspoke_gateway/stream_versions/registration.py
+++ b/libs/gateway/src/balsamspoke_gateway/stream_versions/registration.py
@@ -11,7 +11,6 @@
 from ..exceptions import AnswerOverdue
 from ..observing import VersionsRegistered
 from .register import RegisterConflict, VersionRegister
-from .upkeep import REGISTRATION_LIFETIME
 
 # Time for which the first event of a stream is held until its version is registered.
 MAX_HOLD = timedelta(milliseconds=100)
@@ -39,22 +38,22 @@
         Holds the register.
     upkeep : RegisterUpkeep
         Decides on changes.
+    cache : RegisterCache
+        Receives what is read and written.
     lifetime : StreamLifetime
         Lifetime of the streams of this process.
     on_error : callable
         Called with each StoreUnavailable.
     """
 
-    def __init__(self, context, store, upkeep, lifetime, on_error):
+    def __init__(self, context, store, upkeep, cache, lifetime, on_error):
         self._context = context
         self._clock = context.clock
         self._store = store
         self._upkeep = upkeep
+        self._cache = cache
         self._lifetime = lifetime
         self._on_error = on_error
-        self._register = None
-        self._register_era = None
-        self._read_at = None
         self._wanted = {}
         self._waiters = []
         self._is_writing = False
@@ -70,35 +69,18 @@
     def handle_restored_store(self):
         """Read the register anew, as the store may have lost changes of it."""
         self._has_restored = True
-        self._read_at = None
+        self._cache.forget()
         self._clock.call_later(READ_SPREAD * self._context.draw(), self._update_soon)
 
-    def find_versions(self, service):
-        """Return the set of versions at which streams of a service may have begun.
-
-        It is None if that is not known, or was read too long ago.
-        """
-        if not self._is_recent or not self._register.is_reliable(self._register_era):
-            return None
-        return self._register.list_versions(service)
-
-    def is_registered(self, service, version):
-        """Return whether streams may begin at a version, as far as is known here."""
-        return (
-            self._is_recent
-            and self._register.is_current(service, version)
-            and self._register.lifetime >= self._lifetime.value
-        )
-
     async def add(self, service, version):
         """Register a version of a service; wait for it for ``MAX_HOLD`` at most."""
-        if self.is_registered(service, version):
+        if self._cache.is_registered(service, version):
             return
         self._wanted[service, version] = None
         if not self._is_writing:
             self._is_writing = True
             self._run(self._write_wanted())
-        if self._has_failed or self.is_registered(service, version):
+        if self._has_failed or self._cache.is_registered(service, version):
             return
         waiter = Deferred()
         self._waiters.append(waiter)
@@ -111,7 +93,7 @@
                 self._waiters.remove(waiter)
 
     async def read_versions(self, service):
-        """Return the versions as of now, like ``find_versions``; None if not known."""
+        """Return the versions as of now, like ``RegisterCache.find_versions``."""
         waiter = Deferred()
         self._readers.append(waiter)
         if not self._is_reading:
@@ -127,13 +109,7 @@
             if waiter in self._readers:
                 self._readers.remove(waiter)
         # What was read before may be out of date.
-        return None if stored is None else self.find_versions(service)
-
-    @property
-    def _is_recent(self):
-        if self._register is None or self._read_at is None:
-            return False
-        return self._clock.monotonic() - self._read_at < REGISTRATION_LIFETIME
+        return None if stored is None else self._cache.find_versions(service)
 
     async def _serve_readers(self):
         """Read for all who wait; each read begins after they have asked.
@@ -154,22 +130,12 @@
         """Read the register; return a StoredRegister."""
         began_at = self._clock.monotonic()
         stored = await self._store.read()
-        self._adopt(stored.register, stored.era, began_at)
+        self._cache.adopt(stored.register, stored.era, began_at)
         return stored
 
-    def _adopt(self, register, era, read_at):
-        if self._read_at is not None and read_at < self._read_at:
-            # An answer that came late.
-            return
-        self._register, self._register_era = register, era
-        self._read_at = read_at
-        if register is not None:
-            # Streams may have begun at other processes with more patient callers.
-            self._lifetime.include(register.lifetime)
-
     async def _write(self, register, stored, began_at):
         await self._store.write(register, stored.revision)
-        self._adopt(register, stored.era, began_at)
+        self._cache.adopt(register, stored.era, began_at)
         self._context.observer.observe(
             VersionsRegistered(
                 {
@@ -197,7 +163,7 @@
     async def _register_wanted(self):
         """Register the wanted versions; return True."""
         wanted = list(self._wanted)
-        while not all(self.is_registered(*each) for each in wanted):
+        while not all(self._cache.is_registered(*each) for each in wanted):
             began_at = self._clock.monotonic()
             stored = await self._read()
             register = stored.register or self._make_register(stored)
@@ -239,7 +205,13 @@
         await self._try(self._update)
 
     async def _update(self):
-        """Read the register, and change it if that is due."""
+        """Read the register, and change it if that is due.
+
+        Where no stream may be resumed there is nothing to keep.
+        """
+        configuration = self._context.configuration
+        if configuration is None or not configuration.longest_resumable_timeout:
+            return
         began_at = self._clock.monotonic()
         stored = await self._read()
         lifetime = self._lifetime.value
--- a/libs/gateway/src/balsamspoke_gateway/stream_versions/upkeep.py
+++ b/libs/gateway/src/balsamspoke_gateway/stream_versions/upkeep.py
@@ -29,7 +29,7 @@
     def __init__(self, history):
         self._history = history
         self._retired_since = {}
-        self._incomplete_since = None
+        self._incomplete_since = {}
 
     def choose_change(self, stored, lifetime, now):
         """Return the VersionRegister to write instead of the stored one, or None.
@@ -45,6 +45,7 @@
         """
         register = stored.register
         if register is None:
+            self._incomplete_since.clear()
             return None
         changed = self._adopt_era(register, stored.era)
         changed = replace(changed, lifetime=max(lifetime, changed.lifetime))
@@ -57,17 +58,16 @@
         """Return the register as one of an era; of another one it is incomplete."""
         if register.era == era:
             return register
-        self._incomplete_since = None
         return replace(register, era=era, is_complete=False)
 
     def _complete(self, register, now):
         """Return the register as complete once streams of before can't be resumed."""
         if register.is_complete:
-            self._incomplete_since = None
+            self._incomplete_since.clear()
             return register
-        if self._incomplete_since is None:
-            self._incomplete_since = now
-        if now - self._incomplete_since < REGISTRATION_LIFETIME + register.lifetime:
+        known = self._incomplete_since.get(register.era, now)
+        self._incomplete_since = {register.era: known}
+        if now - known < REGISTRATION_LIFETIME + register.lifetime:
             return register
         return replace(register, is_complete=True)
 
--- a/libs/gateway/tests/test_version_register.py
+++ b/libs/gateway/tests/test_version_register.py
@@ -1,6 +1,7 @@
 import random
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 from balsamspoke_fakes.properties import examples
 from balsamspoke_gateway.observing import VersionsRegistered
@@ -21,7 +22,7 @@
 from .engine_fleet import EngineFleet
 from .entry_world import EntryWorld, FakeStore, FakeVersionRegister
 from .resuming_callers import ResumingTraffic
-from .world import make_record, seconds
+from .world import CONFIGURATION, make_record, seconds
 
 LIFETIME = seconds(30)
 TWO = VersionRegister({"engines": ServiceVersions(frozenset(("v1", "v2")))}, LIFETIME)
@@ -41,6 +42,7 @@
         self.upkeep = RegisterUpkeep(self.history)
         self.register = replace(TWO, is_complete=True)
         self.revision = 1
+        self.era = 0
         self.now = 0
         self.history.restart(seconds(0))
         self.listed = {("engines", "v2")}
@@ -50,7 +52,7 @@
         for _ in range(0, duration, step):
             self.now += step
             self.history.record(self.listed, seconds(self.now))
-            stored = StoredRegister(self.register, self.revision, 0)
+            stored = StoredRegister(self.register, self.revision, self.era)
             changed = self.upkeep.choose_change(stored, LIFETIME, seconds(self.now))
             if changed is not None:
                 self.register = changed
@@ -109,6 +111,16 @@
         self.live(10)
         self.assertTrue(self.register.is_reliable(0))
 
+    def test_a_later_era_counts_from_its_own_begin(self):
+        self.register = replace(TWO, is_complete=False)
+        self.live(60)
+        self.register = replace(self.register, era=1)
+        self.era = 1
+        self.live(60)
+        self.assertFalse(self.register.is_complete)
+        self.live(20)
+        self.assertTrue(self.register.is_reliable(1))
+
     def test_a_complete_register_counts_only_in_its_era(self):
         self.assertTrue(self.register.is_reliable(0))
         self.assertFalse(self.register.is_reliable(1))
@@ -171,6 +183,17 @@
         stored = FakeVersionRegister(self.store).read().result
         return stored.register
 
+    def test_nothing_is_read_where_no_stream_may_be_resumed(self):
+        self.store = FakeStore()
+        world = EntryWorld(self.store)
+        routes = [each for each in CONFIGURATION.routes if not each.is_resumable]
+        configuration = replace(CONFIGURATION, routes=tuple(routes))
+        self.store.write("configurations", "main", configuration)
+        world.core.start()
+        with mock.patch.object(FakeVersionRegister, "read") as read:
+            world.pass_time(100)
+        read.assert_not_called()
+
     def test_a_version_is_registered_before_the_first_event(self):
         self.assertEqual(self.begin(), 0)
         self.assertTrue(self.read().is_current("engines", "v1"))
