--- a/libs/gateway/src/balsamspoke_gateway/admission/prompts.py
+++ b/libs/gateway/src/balsamspoke_gateway/admission/prompts.py
@@ -54,11 +54,10 @@
         load.queued_tokens -= request.tokens
         context.demands.record_end(record.id, target)
     if reply is not None and reply.status is not AdmissionStatus.ADMITTED:
-        earliest = max(MIN_RETRY_AFTER, timedelta(seconds=reply.wait))
         raise Overloaded(
             f"the replica prefills no prompt within {request.max_wait:.3f} s: "
             f"a wait of {reply.wait:.3f} s is predicted",
-            context.scheduling.find_capacity_return(forwarding, earliest),
+            max(MIN_RETRY_AFTER, timedelta(seconds=reply.wait)),
         )
     return replace(choice, admission_number=request.number)
 
--- a/libs/gateway/src/balsamspoke_gateway/placement/selection.py
+++ b/libs/gateway/src/balsamspoke_gateway/placement/selection.py
@@ -298,7 +298,5 @@
         if self._progress.possible_runs:
             return TimedOut("the time for the answer is over")
         # The jitter keeps the callers from returning all at once.
-        earliest = self._forwarding.route.objective * (1 + self._context.draw())
-        scheduling = self._context.scheduling
-        delay = scheduling.find_capacity_return(self._forwarding, earliest)
+        delay = self._forwarding.route.objective * (1 + self._context.draw())
         return Overloaded("the adapter was not loaded in time", delay)
--- a/libs/gateway/src/balsamspoke_gateway/scheduling/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/scheduling/coordinator.py
@@ -4,7 +4,6 @@
 
 from ..exceptions import Overloaded
 from ..observing import TeamsLimited
-from .capacity_returns import CapacityReturns
 from .messages import WorkReport
 from .patience import compute_longest_wait, find_most_urgent
 from .return_times import ReturnTimes
@@ -28,7 +27,6 @@
         self._context = context
         self._shares = TeamShares()
         self._return_times = ReturnTimes(context.draw)
-        self._capacity_returns = CapacityReturns(context.draw)
         self._most_urgent = {}
         self._most_urgent_of = None
         self._limited = ()
@@ -65,33 +63,15 @@
             forwarding.progress.is_scheduled = True
             is_admitted = self._admit(forwarding, wait, longest, candidates)
         if not is_admitted:
-            earliest = max(BUSY_RETRY_AFTER, wait - longest)
             raise Overloaded(
                 f"a wait of {wait.total_seconds():.3f} s is predicted",
-                self.find_capacity_return(forwarding, earliest),
+                max(BUSY_RETRY_AFTER, wait - longest),
             )
 
     def is_most_urgent(self, forwarding):
         """Return whether no request of a Forwarding's service is more urgent."""
         return forwarding.priority <= self._find_most_urgent(forwarding.service)
 
-    def find_capacity_return(self, forwarding, earliest):
-        """Return the time after which a caller may find capacity at the service.
-
-        Parameters
-        ----------
-        forwarding : Forwarding
-            The request that is refused.
-        earliest : timedelta
-            Shortest time after which there may be room.
-        """
-        return self._capacity_returns.choose(
-            forwarding.service,
-            earliest,
-            forwarding.time_left(),
-            self._context.clock.monotonic(),
-        )
-
     def find_limit_return(self, team, tokens, error):
         """Return the time after which a caller may find its team within its limit.
 
