--- a/libs/gateway/src/balsamspoke_gateway/context.py
+++ b/libs/gateway/src/balsamspoke_gateway/context.py
@@ -52,6 +52,8 @@
         State of the replicas.
     draw : callable
         Returns a random number in [0, 1).
+    started_at : timedelta
+        Monotonic time at which the process started.
     demands : AdapterDemands
         Adapters that requests wait for or use, by replica.
     peer_activity : PeerActivity
@@ -105,6 +107,7 @@
     draw: object = field(default_factory=lambda: random.Random().random)
     demands: AdapterDemands = field(default_factory=AdapterDemands)
     peer_activity: PeerActivity = field(default_factory=PeerActivity)
+    started_at: timedelta = field(init=False)
     quotas: TeamQuotas = field(init=False)
     catching_up: CatchingUp = field(default_factory=CatchingUp)
     versions: AdapterVersions = field(default_factory=AdapterVersions)
@@ -126,9 +129,10 @@
     retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
 
     def __post_init__(self):
+        self.started_at = self.clock.monotonic()
         self.quotas = TeamQuotas(self.settings.quota_tolerance, self.peer_activity)
         self.admission_client = AdmissionClient(self.clock, self.peers, self.draw)
-        self.catching_up.start(self.clock.monotonic())
+        self.catching_up.start(self.started_at)
         self.quarantine = QuarantineCoordinator(self)
         self.rate_limiting = RateLimitCoordinator(self)
         self.replica_speed = ReplicaSpeedCoordinator(self)
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
@@ -23,7 +23,7 @@
     StreamNotResumable,
     TimedOut,
 )
-from ..observing import ANSWERED, AttemptEnded, RequestEnded
+from ..observing import ANSWERED, AttemptEnded, RequestEnded, RetryDecided
 from ..placement.selection import ReplicaSelection
 from ..quarantine import make_fingerprint
 from ..scheduling.coordinator import BUSY_RETRY_AFTER
@@ -276,7 +276,18 @@
         if self.progress.failed_attempts >= MAX_FAILED_ATTEMPTS:
             return False
         now = self.context.clock.monotonic()
-        return budget.take(now, self.context.processes)
+        is_allowed = budget.take(now, self.context.processes)
+        decided = RetryDecided(
+            self.request.id,
+            self.service,
+            is_allowed,
+            budget.counted_requests,
+            budget.counted_retries,
+            self.context.processes,
+            now - self.context.started_at,
+        )
+        self.context.observer.observe(decided)
+        return is_allowed
 
     def _make_final_error(self, error):
         """Return the error that ends the request after an AttemptError."""
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/retries.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/retries.py
@@ -30,6 +30,16 @@
         self._requests = deque()
         self._retries = deque()
 
+    @property
+    def counted_requests(self):
+        """Requests that the budget counts."""
+        return len(self._requests)
+
+    @property
+    def counted_retries(self):
+        """Retries that the budget counts."""
+        return len(self._retries)
+
     def record_request(self, now):
         """Record the first attempt of a request at a monotonic time (timedelta)."""
         self._requests.append(now)
--- a/libs/gateway/src/balsamspoke_gateway/observing/__init__.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing/__init__.py
@@ -28,6 +28,7 @@
     AttemptEnded,
     RequestEnded,
     RequestsEnded,
+    RetryDecided,
     SlowCallerDropped,
     StreamResumed,
 )
@@ -76,6 +77,7 @@
     "ReplicasListed",
     "RequestEnded",
     "RequestsEnded",
+    "RetryDecided",
     "SlowCallerDropped",
     "StoreRestored",
     "StreamResumed",
--- a/libs/gateway/src/balsamspoke_gateway/observing/requests.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing/requests.py
@@ -61,6 +61,37 @@
     software_version: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class RetryDecided:
+    """A failed request was sent once more, or was not as the retry budget is spent.
+
+    Attributes
+    ----------
+    request : str
+        Id of the request.
+    service : str
+        Name of the service.
+    is_allowed : bool
+        Whether the request is sent once more.
+    counted_requests : int
+        Requests for the service that the budget of this process counts.
+    counted_retries : int
+        Retries that it counts, including this one.
+    processes : int
+        Entry processes that share the budget, as known here.
+    age : timedelta
+        Time since the start of this process.
+    """
+
+    request: str
+    service: str
+    is_allowed: bool
+    counted_requests: int
+    counted_retries: int
+    processes: int
+    age: timedelta
+
+
 @dataclass(frozen=True, slots=True)
 class StreamResumed:
     """A stream goes on at a replica after its connection had broken.
--- a/libs/gateway/tests/test_forwarding.py
+++ b/libs/gateway/tests/test_forwarding.py
@@ -13,6 +13,7 @@
     UnknownRoute,
 )
 from balsamspoke_gateway.messages import ReplicaState
+from balsamspoke_gateway.observing import RetryDecided
 from balsamspoke_gateway.store.startup import MAX_STARTUP_WAIT, StartupGate
 
 from .scripted_replicas import Answer
@@ -215,6 +216,21 @@
         self.assertLessEqual(sent_count, 200 + 0.2 * 200 + 50 / 5)
         self.assertGreater(sent_count, 200)
 
+    def test_each_decision_is_told_with_what_the_budget_counts(self):
+        world = World()
+        world.add(make_record("a"), make_record("b", number=2))
+        world.client.send = _make_failing_send(world.client)
+        for _ in range(100):
+            world.send("safe")
+        decisions = [
+            each for each in world.observer.events if isinstance(each, RetryDecided)
+        ]
+        self.assertEqual(len(decisions), 100)
+        retries = len(world.client.sent) - 100
+        self.assertEqual(sum(each.is_allowed for each in decisions), retries)
+        last = decisions[-1]
+        self.assertEqual((last.counted_requests, last.counted_retries), (100, retries))
+
 
 def _make_failing_send(client):
     """Return a replacement of ``client.send`` that loses every answer."""
--- a/libs/transport/src/balsamspoke_transport/logs.py
+++ b/libs/transport/src/balsamspoke_transport/logs.py
@@ -14,6 +14,7 @@
     ReplicaCrashed,
     RequestEnded,
     RequestsEnded,
+    RetryDecided,
     StreamResumed,
 )
 from loguru import logger
@@ -36,7 +37,13 @@
 REPEATED_LINE_INTERVAL = timedelta(minutes=1)
 
 # Events of single requests, whose lines are limited in rate.
-_REQUEST_EVENTS = (AttemptEnded, RequestEnded, ReplicaCrashed, StreamResumed)
+_REQUEST_EVENTS = (
+    AttemptEnded,
+    RequestEnded,
+    ReplicaCrashed,
+    RetryDecided,
+    StreamResumed,
+)
 _LEVELS = {DependencyLost: "WARNING", ProgramFailed: "ERROR"}
 
 
--- a/libs/transport/src/balsamspoke_transport/metrics.py
+++ b/libs/transport/src/balsamspoke_transport/metrics.py
@@ -5,6 +5,7 @@
     Observer,
     OrderGiven,
     RequestEnded,
+    RetryDecided,
 )
 from opentelemetry.metrics import Observation
 
@@ -37,11 +38,15 @@
         self._attempts = meter.create_counter(
             "balsamspoke_attempts", description="Attempts at replicas by outcome."
         )
+        self._retries = meter.create_counter(
+            "balsamspoke_retries", description="Retries by whether the budget has one."
+        )
         self._orders = meter.create_counter(
             "balsamspoke_orders", description="Orders to the replica by outcome."
         )
         self.add_handler(RequestEnded, self._record_request)
         self.add_handler(AttemptEnded, self._count_attempt)
+        self.add_handler(RetryDecided, self._count_retry)
         self.add_handler(OrderGiven, self._count_order)
 
     def add_gauge(self, name, description, read):
@@ -98,6 +103,10 @@
         labels = {"service": event.service, "outcome": event.outcome}
         self._attempts.add(1, labels)
 
+    def _count_retry(self, event):
+        labels = {"service": event.service, "allowed": str(event.is_allowed).lower()}
+        self._retries.add(1, labels)
+
     def _count_order(self, event):
         self._orders.add(1, {"kind": event.kind, "outcome": event.outcome})
 
