Keep probing a replica that fails for minutes, without an overflow

Callers got 502 'internal error', and no retry, from each probe of a replica that had failed for about three minutes: the backoff was computed as 0.5 s x 2 to the number of backoffs, which no timedelta can hold from the 47th on, so the error of the attempt was replaced by an OverflowError. The backoff itself is doubled now, up to its bound. The other backoffs (followers of the store, watches of the catalogue, quarantine) bound their exponents already.

--- a/libs/gateway/src/balsamspoke_gateway/fleet/health.py
+++ b/libs/gateway/src/balsamspoke_gateway/fleet/health.py
@@ -13,7 +13,7 @@
 @dataclass(slots=True)
 class _State:
     failures: int = 0
-    backoffs: int = 0
+    backoff: timedelta = timedelta(0)
     avoided_until: timedelta = timedelta(0)
 
 
@@ -48,9 +48,8 @@
         state.failures += 1
         if state.failures < FAILURE_THRESHOLD and not is_unreachable:
             return
-        backoff = min(MAX_BACKOFF, MIN_BACKOFF * 2**state.backoffs)
-        state.backoffs += 1
-        state.avoided_until = now + backoff
+        state.backoff = min(MAX_BACKOFF, max(MIN_BACKOFF, 2 * state.backoff))
+        state.avoided_until = now + state.backoff
 
     def record_try(self, replica_id, now):
         """Record that a request is sent to a replica.
@@ -59,7 +58,7 @@
         at most ``MAX_BACKOFF``.
         """
         state = self._states.get(replica_id)
-        if state is not None and state.backoffs:
+        if state is not None and state.backoff:
             state.avoided_until = now + MAX_BACKOFF
 
     def is_avoided(self, replica_id, now):
--- a/libs/gateway/tests/test_decisions.py
+++ b/libs/gateway/tests/test_decisions.py
@@ -5,7 +5,7 @@
 from balsamspoke_fakes.properties import examples
 from balsamspoke_gateway.adapters.versions import AdapterVersions
 from balsamspoke_gateway.exceptions import UnknownRoute
-from balsamspoke_gateway.fleet.health import MIN_BACKOFF, ReplicaHealth
+from balsamspoke_gateway.fleet.health import MAX_BACKOFF, MIN_BACKOFF, ReplicaHealth
 from balsamspoke_gateway.fleet.loads import ReplicaLoad
 from balsamspoke_gateway.fleet.replicas import RECOVERY_GRACE, ReplicaDirectory
 from balsamspoke_gateway.forwarding.retries import RetryBudget
@@ -83,6 +83,14 @@
         health.record_success("a")
         self.assertFalse(health.is_avoided("a", after))
 
+    def test_a_replica_that_fails_for_hours_is_still_probed(self):
+        health = ReplicaHealth()
+        now = seconds(1)
+        for _ in range(3000):
+            health.record_failure("a", now)
+            self.assertFalse(health.is_avoided("a", now + MAX_BACKOFF))
+            now += MAX_BACKOFF
+
 
 class RetryBudgetTests(unittest.TestCase):
     @examples(100)
