Give processes that follow one another within a window one share of the retries

Cause: a process's count of its retries dies with it, and the next one at its place begins with a whole share, of the requests' part as well as of the extra: the retries of the first are still in the window. Class: a bound over the fleet and time that each incarnation keeps for itself. A process whose address wasn't in the list before it added itself follows nobody.

--- a/libs/gateway/src/balsamspoke_gateway/context.py
+++ b/libs/gateway/src/balsamspoke_gateway/context.py
@@ -15,6 +15,7 @@
 from .drained_domains import DrainedDomainsCoordinator
 from .fleet.fleet import Fleet
 from .forwarding.retries import RetryBudget
+from .forwarding.retry_shares import compute_share
 from .messages import ReplicaLeaving
 from .observing import Observer, ProgramFailed, ReplicaChanged
 from .peers.activity import PeerActivity
@@ -90,6 +91,8 @@
         IP addresses of the other entry processes.
     demand_interval : timedelta
         Time between messages to each side process.
+    may_follow_another : bool
+        Whether an earlier process may have served requests at the same address.
     is_stopping : bool
         Whether the process is about to end.
     is_refusing : bool
@@ -124,6 +127,7 @@
     configuration: Configuration | None = None
     peer_ips: list[str] = field(default_factory=list)
     demand_interval: timedelta = MIN_INTERVAL
+    may_follow_another: bool = True
     is_stopping: bool = False
     is_refusing: bool = False
     retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
@@ -196,13 +200,19 @@
         """Return the RetryBudget of a service; it is created on first use."""
         budget = self.retry_budgets.get(service)
         if budget is None:
-            settings = self.settings
-            budget = RetryBudget(
-                settings.retry_ratio, settings.retry_extra, settings.retry_window
-            )
+            budget = RetryBudget(self.settings.retry_window)
             self.retry_budgets[service] = budget
         return budget
 
+    def compute_retry_share(self, now):
+        """Return this process's RetryShare at a monotonic time."""
+        return compute_share(
+            self.settings,
+            now - self.started_at,
+            self.processes,
+            self.may_follow_another,
+        )
+
     def send_demand(self, record):
         """Send the demand at a replica to its side process."""
         load, now = self.fleet.find_load(record.id), self.clock.monotonic()
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
@@ -276,13 +276,13 @@
         if self.progress.failed_attempts >= MAX_FAILED_ATTEMPTS:
             return False
         now = self.context.clock.monotonic()
-        is_allowed = budget.take(now, self.context.processes)
+        is_allowed = budget.take(now, self.context.compute_retry_share(now))
         decided = RetryDecided(
             self.request.id,
             self.service,
             is_allowed,
-            budget.counted_requests,
-            budget.counted_retries,
+            budget.count_requests(now),
+            budget.count_retries(now),
             self.context.processes,
             now - self.context.started_at,
         )
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/retries.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/retries.py
@@ -1,68 +1,83 @@
 """Retry budget, which keeps retries a small fraction of a service's requests."""
 
-from collections import deque
+from itertools import accumulate
 
-# Fraction of the budget that is used. The processes share the fleet's budget without
-# coordination, and some of them may not count a new process yet.
-SPENDABLE_RATIO = 0.8
+from .slot_counts import SlotCounts
+
+_SLOTS_PER_WINDOW = 20
+# Requests count from one window before the oldest window that still goes on.
+_SLOTS = 2 * _SLOTS_PER_WINDOW + 1
 
 
 class RetryBudget:
-    """Retry budget of one process for one service over a sliding window.
+    """Retry budget of one process for one service.
 
     Without a bound, retries would multiply the load on a service that fails or is
-    overloaded.
+    overloaded. The bound holds for any window of time. The requests that count for a
+    window are those in it, in the window before it or in the one half a window before
+    it, whichever are most.
 
     Parameters
     ----------
-    ratio : float
-        Retries allowed per request in the window.
-    extra : float
-        Retries of the whole fleet allowed in the window in addition.
     window : timedelta
-        Length of the sliding window.
+        Length of a window.
     """
 
-    def __init__(self, ratio, extra, window):
-        self._ratio = ratio
-        self._extra = extra
-        self._window = window
-        self._requests = deque()
-        self._retries = deque()
+    def __init__(self, window):
+        slot = window / _SLOTS_PER_WINDOW
+        self._requests = SlotCounts(slot, _SLOTS)
+        self._retries = SlotCounts(slot, _SLOTS)
 
-    @property
-    def counted_requests(self):
-        """Requests that the budget counts."""
-        return len(self._requests)
+    def count_requests(self, now):
+        """Return the number of requests in the window that ends at a time."""
+        return sum(self._requests.list_counts(now)[-_SLOTS_PER_WINDOW:])
 
-    @property
-    def counted_retries(self):
-        """Retries that the budget counts."""
-        return len(self._retries)
+    def count_retries(self, now):
+        """Return the number of retries in the window that ends at a time."""
+        return sum(self._retries.list_counts(now)[-_SLOTS_PER_WINDOW:])
 
     def record_request(self, now):
         """Record the first attempt of a request at a monotonic time (timedelta)."""
-        self._requests.append(now)
+        self._requests.add(now)
 
-    def take(self, now, processes):
+    def take(self, now, share):
         """Take a retry from the budget; return whether the budget allows it.
 
         Parameters
         ----------
         now : timedelta
             Monotonic time.
-        processes : int
-            Number of processes that share ``extra``.
+        share : RetryShare
+            Part of the fleet's budget that this process may use.
         """
-        self._expire(now)
-        allowed = self._ratio * len(self._requests) + self._extra / max(1, processes)
-        if len(self._retries) + 1 > SPENDABLE_RATIO * allowed:
-            return False
-        self._retries.append(now)
+        for retries, requests in self._list_windows(now):
+            if retries + 1 > share.ratio * requests + share.extra:
+                return False
+        self._retries.add(now)
         return True
 
-    def _expire(self, now):
-        cutoff = now - self._window
-        for times in (self._requests, self._retries):
-            while times and times[0] <= cutoff:
-                times.popleft()
+    def _list_windows(self, now):
+        """Return the retries and requests of each window that still goes on."""
+        requests = [0, *accumulate(self._requests.list_counts(now))]
+        retries = [0, *accumulate(self._retries.list_counts(now))]
+        return [
+            (retries[-1] - retries[begin], _count_most(requests, begin))
+            for begin in range(_SLOTS_PER_WINDOW, _SLOTS)
+        ]
+
+
+def _count_most(requests, begin):
+    """Return the most requests so far in the windows that count for one.
+
+    Parameters
+    ----------
+    requests : list of int
+        Requests before each slot, and in all slots.
+    begin : int
+        First slot of the window.
+    """
+    half = _SLOTS_PER_WINDOW // 2
+    before = requests[begin + 1] - requests[begin + 1 - _SLOTS_PER_WINDOW]
+    around = requests[min(begin + half, _SLOTS)] - requests[begin - half]
+    since = requests[-1] - requests[begin]
+    return max(before, around, since)
--- a/libs/gateway/src/balsamspoke_gateway/peers/directory.py
+++ b/libs/gateway/src/balsamspoke_gateway/peers/directory.py
@@ -26,6 +26,7 @@
     def __init__(self, own_ip):
         self._own_ip = own_ip
         self._is_registered = False
+        self._was_listed_before = None
         self._names = {}
         self._position = None
         self._unlisted_since = {}
@@ -41,6 +42,14 @@
         """Whether this process is listed, or will be once its write is read back."""
         return self._is_registered
 
+    @property
+    def may_follow_another(self):
+        """Whether an earlier process may have served requests at the own address.
+
+        None did if the list lacked the address before this process added itself.
+        """
+        return not self._is_registered or self._was_listed_before is not False
+
     @property
     def ips(self):
         """IP addresses of the peers."""
@@ -83,6 +92,8 @@
         for change in page.changes:
             self._apply_change(change)
         is_listed = self._own_ip in self._names
+        if self._was_listed_before is None:
+            self._was_listed_before = is_listed
         if is_listed or was_listed or is_full_list:
             self._is_registered = is_listed
         for ip in self._names:
--- a/libs/gateway/src/balsamspoke_gateway/store/view.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/view.py
@@ -88,7 +88,6 @@
             source = self._context.drained_domains.track(sources.drained_domains)
             follower = self._follow(source, self._apply_drained_domains, None)
             self._context.drained_domains.set_follower(follower)
-        self._run(self._maintain_registry())
 
     def record_peer_era(self, era):
         """Ask the store for its era if a peer tells of a later one."""
@@ -154,6 +153,7 @@
                 if not self.peers.is_registered:
                     await self._registry.register()
                     self.peers.record_registration()
+                    context.may_follow_another = self.peers.may_follow_another
                 now = context.clock.monotonic()
                 for ip in context.peer_activity.list_expired(now):
                     if ip in self.peers:
@@ -254,8 +254,11 @@
         self._open_if_ready()
 
     def _apply_entries(self, page, is_full_list):
+        is_first = not self.peers.is_known
         if not self.peers.apply(page, is_full_list):
             return
+        if is_first:
+            self._run(self._maintain_registry())
         context = self._context
         peers = self.peers.ips
         context.peer_ips = peers
