Give a process no part of the fleet's extra retries before it knows the others

Cause: the extra was divided by the entry processes that a process knows, and one that has not read their list knows none; those that start together have read a list without one another. Class: what is not known counts as none. A process has a Standing now: without the list it has no part; until it has read the list again 4 s after it added itself, one of n processes that it knows takes 1/(n(n+1)), which adds up to less than 1 over all that registered one after another; then 1/n. The list is read before the process adds itself, so that an entry at its address shows an earlier process. Two calls more at a process's start.

--- a/libs/gateway/src/balsamspoke_gateway/context.py
+++ b/libs/gateway/src/balsamspoke_gateway/context.py
@@ -20,6 +20,7 @@
 from .observing import Observer, ProgramFailed, ReplicaChanged
 from .peers.activity import PeerActivity
 from .peers.pacing import MIN_INTERVAL
+from .peers.standing import Standing
 from .placement.prompt_prefixes import PrefixTracker
 from .ports import PeerSender, ReplicaClient
 from .quarantine import QuarantineCoordinator
@@ -91,8 +92,8 @@
         IP addresses of the other entry processes.
     demand_interval : timedelta
         Time between messages to each side process.
-    may_follow_another : bool
-        Whether an earlier process may have served requests at the same address.
+    standing : Standing
+        Place of this process among the entry processes.
     is_stopping : bool
         Whether the process is about to end.
     is_refusing : bool
@@ -127,7 +128,7 @@
     configuration: Configuration | None = None
     peer_ips: list[str] = field(default_factory=list)
     demand_interval: timedelta = MIN_INTERVAL
-    may_follow_another: bool = True
+    standing: Standing = field(default_factory=Standing)
     is_stopping: bool = False
     is_refusing: bool = False
     retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
@@ -206,12 +207,7 @@
 
     def compute_retry_share(self, now):
         """Return this process's RetryShare at a monotonic time."""
-        return compute_share(
-            self.settings,
-            now - self.started_at,
-            self.processes,
-            self.may_follow_another,
-        )
+        return compute_share(self.settings, now - self.started_at, self.standing)
 
     def send_demand(self, record):
         """Send the demand at a replica to its side process."""
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/retry_shares.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/retry_shares.py
@@ -26,7 +26,7 @@
     extra: float
 
 
-def compute_share(settings, age, processes, may_follow_another):
+def compute_share(settings, age, standing):
     """Return the RetryShare of a process.
 
     The budget holds for any window, whichever processes end and start in it. Nothing
@@ -40,14 +40,24 @@
         Bounds of the fleet's retries.
     age : timedelta
         Time since the process started.
-    processes : int
-        Number of processes that share ``retry_extra``.
-    may_follow_another : bool
-        Whether an earlier process may have served requests at the same address.
+    standing : Standing
+        Place of the process among those that share ``retry_extra``.
     """
-    extra = settings.retry_extra / max(1, processes)
+    extra = settings.retry_extra * _compute_part(standing)
     maturity = age / settings.retry_window
-    if may_follow_another and maturity < 1:
+    if standing.may_follow_another and maturity < 1:
         ratio = RESTARTED_FRACTION * settings.retry_ratio
         return RetryShare(ratio, RESTARTED_FRACTION * maturity * extra)
     return RetryShare(STEADY_FRACTION * settings.retry_ratio, STEADY_FRACTION * extra)
+
+
+def _compute_part(standing):
+    """Return a process's part of what all processes share, from 0 to 1.
+
+    Of processes that start together, each knows those that registered before it. The
+    parts that they use until they know all add up to less than 1.
+    """
+    count = standing.processes
+    if count is None:
+        return 0.0
+    return 1 / count if standing.is_settled else 1 / (count * (count + 1))
--- a/libs/gateway/src/balsamspoke_gateway/peers/directory.py
+++ b/libs/gateway/src/balsamspoke_gateway/peers/directory.py
@@ -43,12 +43,9 @@
         return self._is_registered
 
     @property
-    def may_follow_another(self):
-        """Whether an earlier process may have served requests at the own address.
-
-        None did if the list lacked the address before this process added itself.
-        """
-        return not self._is_registered or self._was_listed_before is not False
+    def was_listed_before(self):
+        """Whether the first list had this process's address; None until it was read."""
+        return self._was_listed_before
 
     @property
     def ips(self):
--- a/libs/gateway/src/balsamspoke_gateway/store/view.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/view.py
@@ -3,7 +3,6 @@
 from datetime import timedelta
 
 from balsamspoke_types.exceptions import StoreUnavailable
-from balsamspoke_types.timing import sleep
 from twisted.internet.defer import Deferred
 
 from ..exceptions import NO_DELAY
@@ -20,6 +19,7 @@
 from ..peers.pacing import choose_interval, choose_lifetime
 from .following import Follower
 from .reachability import STORE, Reachability
+from .registration import EntryRegistration
 
 # Shortest time between two reads of replica changes, as a fraction of ``drain_time``,
 # the time to stop sending to a leaving replica. Each replica writes about once a
@@ -30,9 +30,6 @@
 # Shortest time between two reads of the list of entry processes.
 ENTRY_POLL_INTERVAL = timedelta(seconds=2)
 
-# Interval of updates of the list of entry processes and of retries of failed writes.
-REGISTRY_INTERVAL = timedelta(milliseconds=600)
-
 # Time within which the processes read a restored store again, so that they don't all do
 # so at the same moment.
 RESTORE_READ_SPREAD = timedelta(milliseconds=300)
@@ -65,7 +62,6 @@
     def __init__(self, context, sources, registry, on_change):
         self._context = context
         self._sources = sources
-        self._registry = registry
         self._on_change = on_change
         self._followers = []
         self._replica_era = None
@@ -74,6 +70,9 @@
         self.reachability = Reachability(
             STORE, context.clock, context.observer, self._record_store_recovery
         )
+        self._registration = EntryRegistration(
+            context, registry, self.peers, self.reachability, self._list_peers
+        )
         self.era = 0
 
     def start(self):
@@ -145,31 +144,16 @@
         for follower in self._followers:
             follower.restart(RESTORE_READ_SPREAD * self._context.draw())
 
-    async def _maintain_registry(self):
-        """Keep this process in the list, and remove peers assumed to have ended."""
-        context = self._context
-        while True:
-            try:
-                if not self.peers.is_registered:
-                    await self._registry.register()
-                    self.peers.record_registration()
-                    context.may_follow_another = self.peers.may_follow_another
-                now = context.clock.monotonic()
-                for ip in context.peer_activity.list_expired(now):
-                    if ip in self.peers:
-                        await self._registry.remove(self.peers.find_name(ip))
-            except StoreUnavailable as error:
-                self.reachability.record_failure(error)
-            await sleep(context.clock, REGISTRY_INTERVAL)
-
     async def _list_peers(self):
+        """Read the list of entry processes; return whether the store answered."""
         try:
             page = await self._sources.entries.list_all()
         except StoreUnavailable as error:
             self.reachability.record_failure(error)
-            return
+            return False
         self.reachability.record_answer()
         self._apply_entries(page, True)
+        return True
 
     def _record_store_recovery(self):
         self._context.fleet.directory.record_store_recovery(
@@ -257,15 +241,16 @@
         is_first = not self.peers.is_known
         if not self.peers.apply(page, is_full_list):
             return
-        if is_first:
-            self._run(self._maintain_registry())
         context = self._context
         peers = self.peers.ips
         context.peer_ips = peers
+        self._registration.update_standing()
         lifetime = choose_lifetime(choose_interval(len(peers)))
         context.quotas.set_peers(peers, lifetime, context.clock.monotonic())
         context.observer.observe(EntriesListed(context.processes))
         self._open_if_ready()
+        if is_first:
+            self._run(self._registration.maintain())
 
     def _open_if_ready(self):
         context = self._context
--- a/libs/gateway/tests/entry_world.py
+++ b/libs/gateway/tests/entry_world.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from balsamspoke_gateway.entry import EntryCore
+from balsamspoke_gateway.peers.standing import Standing
 from balsamspoke_gateway.ports import EntryRegistry, RecordSource
 from balsamspoke_gateway.quarantine import QuarantineStore
 from balsamspoke_gateway.store.following import RecordChange, RecordPage, StorePosition
@@ -293,6 +294,7 @@
     def __init__(self, store=None, started=1, **others):
         super().__init__(age=0.0, **others)
         self.context.configuration = None
+        self.context.standing = Standing()
         self.context.startup = StartupGate(self.clock)
         self.store = store or FakeStore()
         self.is_cut = False
--- a/libs/gateway/tests/world.py
+++ b/libs/gateway/tests/world.py
@@ -19,6 +19,7 @@
 from balsamspoke_gateway.fleet.replicas import HeldModel, ReplicaRecord
 from balsamspoke_gateway.forwarding.forwarding import Forwarding
 from balsamspoke_gateway.messages import ReplicaState
+from balsamspoke_gateway.peers.standing import Standing
 from balsamspoke_gateway.requests import (
     AdapterName,
     CallerRequest,
@@ -163,6 +164,7 @@
             draw=lambda: 0.0,
         )
         self.context.started_at -= seconds(age)
+        self.context.standing = Standing(1, is_settled=True)
         self.context.configuration = CONFIGURATION
         self.context.startup.open()
         self._bodies = itertools.count()
