Count a request once in the retry budget, however many replicas it does not reach

Cause: a request was recorded at each attempt until one had failed after it was sent, so once for each replica that refused the connection. Class: a base that grows with the failures it bounds.

--- a/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
@@ -251,7 +251,8 @@
         """Count an attempt in the RetryBudget; raise if it allows no other one."""
         if self.progress.failed_attempts and not self._take_retry(budget):
             raise self._make_final_error(self._last_error)
-        if not self.progress.failed_attempts:
+        if not self.progress.is_counted:
+            self.progress.is_counted = True
             budget.record_request(self.context.clock.monotonic())
 
     def _check_quarantine(self):
