Give back a retry that has reached no replica

What callers saw: where several replicas had just gone dark, a failed request was given up with 502 as its retries were spent on connections that were refused, though the bound counts arrivals alone. Cause: a retry was taken when it was sent, and kept when it was not. It is given back when no connection was made; nothing was written then. test_a_retry_that_reaches_no_replica_is_not_spent: one retry in the budget, six replicas that refuse and one that serves: given up after the first of the six before, served now.

--- a/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
@@ -227,7 +227,7 @@
             choice = await selection.find()
             try:
                 self._check_quarantine()
-                self._count_attempt(budget)
+                taken_at = self._count_attempt(budget)
             except GatewayError:
                 cancel_admission(self.context, choice)
                 raise
@@ -236,6 +236,8 @@
                 return
             except NotSent as error:
                 self._last_error = error
+                if taken_at is not None:
+                    budget.give_back(taken_at)
             except NotRun as error:
                 self._last_error = error
                 self.progress.failed_attempts += 1
@@ -248,12 +250,22 @@
             self.progress.excluded_replicas.add(choice.candidate.record.id)
 
     def _count_attempt(self, budget):
-        """Count an attempt in the RetryBudget; raise if it allows no other one."""
-        if self.progress.failed_attempts and not self._take_retry(budget):
-            raise self._make_final_error(self._last_error)
+        """Count an attempt in the RetryBudget; raise if it allows no other one.
+
+        Returns
+        -------
+        timedelta or None
+            Monotonic time at which a retry was taken; None for a first attempt.
+        """
+        now = self.context.clock.monotonic()
         if not self.progress.is_counted:
             self.progress.is_counted = True
-            budget.record_request(self.context.clock.monotonic())
+            budget.record_request(now)
+        if not self.progress.failed_attempts:
+            return None
+        if not self._take_retry(budget, now):
+            raise self._make_final_error(self._last_error)
+        return now
 
     def _check_quarantine(self):
         """Raise PromptQuarantined, or OutcomeUnknown if the request may have run."""
@@ -273,10 +285,9 @@
             and self.progress.possible_runs < self.route.max_attempts
         )
 
-    def _take_retry(self, budget):
+    def _take_retry(self, budget, now):
         if self.progress.failed_attempts >= MAX_FAILED_ATTEMPTS:
             return False
-        now = self.context.clock.monotonic()
         is_allowed = budget.take(now, self.context.compute_retry_share(now))
         decided = RetryDecided(
             self.request.id,
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/retries.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/retries.py
@@ -56,6 +56,10 @@
         self._retries.add(now)
         return True
 
+    def give_back(self, taken_at):
+        """Return a retry that was taken at a time and has reached no replica."""
+        self._retries.remove(taken_at)
+
     def _list_windows(self, now):
         """Return the retries and requests of each window that still goes on."""
         requests = [0, *accumulate(self._requests.list_counts(now))]
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/slot_counts.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/slot_counts.py
@@ -24,6 +24,12 @@
         self._advance(now)
         self._counts[-1] += 1
 
+    def remove(self, counted_at):
+        """Take back an event that was counted at a time, if its slot is still kept."""
+        age = self._current - counted_at // self._slot
+        if age < len(self._counts):
+            self._counts[-1 - age] -= 1
+
     def list_counts(self, now):
         """Return the counts (list of int) of all slots, the current one last."""
         self._advance(now)
--- a/libs/gateway/tests/test_retry_budget.py
+++ b/libs/gateway/tests/test_retry_budget.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from balsamspoke_fakes import VirtualTime
@@ -15,6 +16,7 @@
 from .entry_world import EntryWorld, FakeRegistry, FakeStore
 from .retry_fleet import EXTRA, LOST, UNREACHABLE, RetryFleet
 from .scripted_replicas import Answer
+from .world import World, make_record
 
 REFUSED = Answer(503, has_run=False)
 FAILED = Answer(error=LOST)
@@ -125,6 +127,19 @@
                 fleet.send_to_all(max(3, 600 // size))
                 self.assertIsNone(fleet.find_overrun())
 
+    def test_a_retry_that_reaches_no_replica_is_not_spent(self):
+        world = World()
+        # The budget has one retry.
+        world.context.settings = replace(world.context.settings, retry_extra=2.0)
+        names = "abcdefgh"
+        world.add(*(make_record(each, number=n) for n, each in enumerate(names, 1)))
+        world.client.script("a", FAILED)
+        for name in "bcdefg":
+            world.client.script(name, Answer(error=UNREACHABLE))
+        sink, _ = world.send("safe")
+        self.assertEqual([each for each, _ in world.client.sent], list(names))
+        self.assertEqual(sink.status, 200)
+
 
 class SchedulesTests(unittest.TestCase):
     @examples(25)
