Never take an error for the rest of a stream

Cause: whatever is a success was read as the rest of the stream, and an event without an id counted as new. A resumption must be answered with the status that began the answer, and begin with an event that has an id; streams without ids are not resumed at all. Otherwise the attempt is lost, and the stream goes on elsewhere or breaks off.

--- a/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
@@ -211,6 +211,9 @@
             raise NotRun(f"the replica answered {answer.status} without running")
         if answer.is_success and not answer.is_signed:
             raise AnswerLost("the answer has no signature")
+        sink = self._forwarding.sink
+        if sink.is_started and answer.status != sink.status:
+            raise AnswerLost(f"the replica answered {answer.status} to a resumption")
         if answer.is_success and self._forwarding.is_stream:
             await self._forward_stream(answer)
         else:
@@ -272,8 +275,6 @@
         if answer.status >= _FIRST_SERVER_ERROR and self._forwarding.can_repeat:
             raise AnswerLost(f"the replica answered {answer.status}")
         sink = self._forwarding.sink
-        if sink.is_started:
-            raise AnswerLost(f"the replica answered {answer.status} to a resumption")
         sink.start(answer.status, answer.headers, len(body))
         sink.write(body)
         sink.finish()
@@ -289,6 +290,7 @@
                 break
             events = splitter.add(piece)
             if events and self._first_event_at is None:
+                self._check_first_event(events[0])
                 await self._register_version()
             self._forward_events(answer, events)
             if splitter.is_too_long:
@@ -305,6 +307,11 @@
         sink.finish()
         self._record_success(answer)
 
+    def _check_first_event(self, event):
+        """Raise AnswerLost if what answers a resumption is no event of the stream."""
+        if self._forwarding.sink.is_started and event.id is None:
+            raise AnswerLost("the answer to a resumption begins with no event id")
+
     async def _register_version(self):
         """Register the replica's software version; ``recall`` also ends this wait."""
         registering = self._forwarding.register_version(self._record)
--- a/libs/gateway/tests/test_streams.py
+++ b/libs/gateway/tests/test_streams.py
@@ -1,3 +1,4 @@
+import itertools
 import unittest
 from dataclasses import replace
 from datetime import timedelta
@@ -57,6 +58,36 @@
         ]
         self.assertEqual(resumed, [StreamResumed("id-1", "id-1", second, "", 2)])
 
+    def resume_with(self, answer):
+        """Break a stream after two events, and resume it with an Answer."""
+        self.setUp()
+        broken = Answer(pieces=EVENTS[:2], breaks=True)
+        scripts = [broken, answer]
+        self.world.client.answers = {"a": scripts, "b": scripts}
+        sink, _ = self.world.send("resumable")
+        self.assertEqual(len(self.world.client.sent), 2)
+        return sink
+
+    def test_an_error_is_never_taken_for_the_rest_of_a_stream(self):
+        error = b'{"error": "no such event"}'
+        bodies = [(), (error,), (error + b"\n\n",), (b"error: x\n\n", EVENTS[2])]
+        statuses = [200, 202, 204, 206, 301, 400, 404, 416, 429, 500, 502, 503, 504]
+        for status, pieces, is_signed, is_framed, breaks in itertools.product(
+            statuses, bodies, (True, False), (True, False), (True, False)
+        ):
+            is_whole = status == 200 and not pieces and is_signed and is_framed
+            if is_whole and not breaks:
+                # A run that had nothing left to send.
+                continue
+            answer = Answer(
+                status, pieces, is_signed=is_signed, is_framed=is_framed, breaks=breaks
+            )
+            with self.subTest(status=status, pieces=pieces, breaks=breaks):
+                sink = self.resume_with(answer)
+                self.assertEqual(sink.body, b"".join(EVENTS[:2]))
+                self.assertFalse(sink.is_finished)
+                self.assertTrue(sink.is_broken)
+
     def break_stream(self, held, announced=0):
         """Break off a stream of an adapter; return the replicas that have run it.
 
