Believe an answer on a kept connection only if it tells which request it answers

A booking that was running was told 'not run, try again' (REFUSED), or went to a second replica (TWICE). Cause: only an id that differs marked an answer as stale; none, or the first of several, counted as the request's own. On a connection that has answered before, an answer must echo the id of its request and no other; else the connection is closed, and the request may have run. With another id alone it is skipped, as before.

--- a/libs/transport/src/balsamspoke_transport/connections.py
+++ b/libs/transport/src/balsamspoke_transport/connections.py
@@ -180,6 +180,7 @@
         self._exchange = None
         self._parser = None
         self._is_stale_response = False
+        self._has_answered = False
         self._is_paused = False
         self._keep_alive_timeout = DEFAULT_KEEP_ALIVE_TIMEOUT
         self._idle_since = None
@@ -289,14 +290,31 @@
 
     def _handle_head(self, event):
         head = HttpHead(event.status_code, tuple(event.headers))
-        request = self._exchange.request
-        echoed = head.find(self._exchange.id_header) if request.id else None
-        # A response to an earlier request may arrive late; its id differs.
-        self._is_stale_response = echoed is not None and echoed != request.id
+        self._is_stale_response = self._is_for_earlier_request(head)
+        self._has_answered = True
         if not self._is_stale_response:
             self._read_keep_alive_timeout(head)
             self._exchange.handle_head(head)
 
+    def _is_for_earlier_request(self, head):
+        """Return whether an HttpHead answers an earlier request, late or once more.
+
+        Raises
+        ------
+        h11.RemoteProtocolError
+            If it doesn't tell which request it answers.
+        """
+        own_id = self._exchange.request.id
+        ids = set(head.find_all(self._exchange.id_header))
+        if not own_id or ids == {own_id}:
+            return False
+        if not ids and not self._has_answered:
+            # No other request was sent on this connection.
+            return False
+        if not ids or own_id in ids:
+            raise h11.RemoteProtocolError("the answer does not tell its request")
+        return True
+
     def _read_keep_alive_timeout(self, head):
         header = head.find(b"keep-alive") or b""
         for field in header.split(b","):
--- a/libs/transport/tests/test_connections.py
+++ b/libs/transport/tests/test_connections.py
@@ -114,6 +114,40 @@
         self.assertEqual(self.read_head_result(exchange).find(b"request-id"), b"r2")
         self.assertEqual(self.read_all(exchange), (b"own", "whole"))
 
+    def answer_second_request(self, *responses):
+        """Send two requests, and answer the second; return its head and its end."""
+        self.setUp()
+        self.send_request(b"r1")
+        self.connection.dataReceived(make_response(b"r1"))
+        exchange = self.send_request(b"r2", is_idempotent=False)
+        self.connection.dataReceived(b"".join(responses))
+        head = self.read_head_result(exchange)
+        if isinstance(head, Failure):
+            head.trap(ReplyBroken)
+            return None, "broken"
+        return head, None if head is None else self.read_all(exchange)
+
+    def test_a_refusal_written_once_more_refuses_no_other_request(self):
+        own = make_response(b"r2", b"own")
+        for ids in ((b"r1",), (), (b"r1", b"r2"), (b"r2", b"r1")):
+            lines = b"".join(b"Request-Id: %s\r\n" % each for each in ids)
+            again = b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\n%sContent-Length: 0\r\n\r\n"
+            for rest in (b"", own):
+                with self.subTest(ids=ids, rest=rest):
+                    head, end = self.answer_second_request(again % lines, rest)
+                    if ids != (b"r1",):
+                        self.assertEqual((head, end), (None, "broken"))
+                        self.assertTrue(self.transport.is_aborted)
+                    elif rest:
+                        self.assertEqual((head.status, end), (200, (b"own", "whole")))
+                    else:
+                        self.assertIsNone(head)
+
+    def test_the_only_request_of_a_connection_needs_no_id_in_its_answer(self):
+        exchange = self.send_request()
+        self.connection.dataReceived(b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n")
+        self.assertEqual(self.read_head_result(exchange).status, 503)
+
     def test_does_not_reuse_a_connection_with_bytes_after_the_response(self):
         exchange = self.send_request()
         self.connection.dataReceived(make_response(b"r1") + b"HTTP/1.1 200 OK\r\n")
