Go on telling peers and side processes after an unexpected error

What operators would see: a process that one message could not be sent to, such as to an address that is no IP address, stopped telling its demands and its usage for good: side processes load nothing for it, and its peers set its share of the limits aside. Cause: the timer of the next round was set at the end of a round.

--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -226,6 +226,8 @@
 
     def _maintain_replicas(self):
         context = self.context
+        # First, so that an error doesn't end the updates for good.
+        context.clock.call_later(context.demand_interval, self._maintain_replicas)
         context.stream_versions.refresh()
         now = context.clock.monotonic()
         for replica_id in context.fleet.directory.expire(now):
@@ -235,7 +237,6 @@
         context.drained_domains.maintain()
         context.rate_limiting.warmups.expire()
         self._send_demands()
-        context.clock.call_later(context.demand_interval, self._maintain_replicas)
 
     def _send_demands(self):
         """Send the demand at each engine to its side process.
@@ -254,6 +255,11 @@
 
     def _send_usage(self):
         context = self.context
+        peers = self._store_view.peers.ips
+        interval = choose_interval(len(peers))
+        jitter = 1 + USAGE_JITTER * (context.draw() - 0.5)
+        # First, so that an error doesn't end the messages for good.
+        context.clock.call_later(interval * jitter, self._send_usage)
         now = context.clock.monotonic()
         message = replace(
             context.quotas.make_usage(self._started, now),
@@ -261,9 +267,5 @@
             store_era=self._store_view.era,
             drained_domains=context.drained_domains.make_notice(),
         )
-        peers = self._store_view.peers.ips
         for ip in peers:
             context.peers.send(ip, message)
-        interval = choose_interval(len(peers))
-        jitter = 1 + USAGE_JITTER * (context.draw() - 0.5)
-        context.clock.call_later(interval * jitter, self._send_usage)
--- a/libs/gateway/src/balsamspoke_gateway/replica_speed/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/replica_speed/coordinator.py
@@ -137,13 +137,14 @@
         return (min(rules), max(rules)) if rules else None
 
     def _maintain(self):
+        # First, so that an error doesn't end the notices for good.
+        self._clock.call_later(NOTICE_INTERVAL, self._maintain)
         directory = self._context.fleet.directory
         for replica_id in [each for each in self._told_at if not directory.find(each)]:
             del self._told_at[replica_id]
         rules = list(self._list_rules())
         self._report_changes(rules)
         self._notify(rules)
-        self._clock.call_later(NOTICE_INTERVAL, self._maintain)
 
     def _list_rules(self):
         now = self._clock.monotonic()
--- a/libs/gateway/tests/test_entry.py
+++ b/libs/gateway/tests/test_entry.py
@@ -115,6 +115,30 @@
         bugs = [e for e in self.world.observer.events if isinstance(e, ProgramFailed)]
         self.assertIn("RuntimeError", bugs[0].traceback)
 
+    def test_goes_on_telling_peers_and_side_processes_after_an_unexpected_error(self):
+        self.world.configure(1)
+        self.store.write("entries", "10.0.1.2", "10.0.1.2")
+        self.store.write("replicas", "a", make_record("a", "engines"))
+        self.start()
+        self.world.pass_time(1)
+        for recipient in ("10.0.1.2", "10.0.0.1"):
+            with self.subTest(recipient=recipient):
+                self.fail_one_message_to(recipient)
+                self.world.peers.sent.clear()
+                self.world.pass_time(2)
+                self.assertIn(recipient, [ip for ip, _ in self.world.peers.sent])
+
+    def fail_one_message_to(self, recipient):
+        """Let time pass until sending one message to an IP address has failed."""
+
+        def fail(ip, message):
+            if ip == recipient:
+                raise RuntimeError("unexpected")
+
+        with mock.patch.object(self.world.peers, "send", fail):
+            with self.assertRaises(RuntimeError):
+                self.world.pass_time(2)
+
     def test_starts_during_a_store_outage_and_is_ready_after_it(self):
         self.world.configure(3)
         self.add("a")
