Refuse teams with a limit as long as the other processes are not known

Requests of teams that have a limit are refused with a time to come back until the list of processes was read; public routes and teams without a limit are served. test_refuses_teams_with_a_limit_as_long_as_it_does_not_know_its_peers failed before: the request was admitted.

--- a/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
@@ -203,6 +203,9 @@
     def _charge(self):
         if self.team is None:
             return
+        if self.team.rate > 0 and self.context.standing.processes is None:
+            reason = "the processes that share the team's limit are not known yet"
+            raise NotReady(reason, BUSY_RETRY_AFTER)
         tokens = self.request.token_cost
         if tokens is None:
             tokens = self.team.plain_tokens
--- a/libs/gateway/tests/test_entry.py
+++ b/libs/gateway/tests/test_entry.py
@@ -82,6 +82,20 @@
         self.assertEqual(sink.status, 200)
         self.assertEqual(self.world.context.processes, 2)
 
+    def test_refuses_teams_with_a_limit_as_long_as_it_does_not_know_its_peers(self):
+        self.world.configure(1)
+        self.add("a")
+        self.store.silent_kinds.add("entries")
+        self.core.start()
+        self.world.pass_time(5)
+        keyed, _ = self.world.send("keyed", key="key-1", token_cost=30)
+        public, _ = self.world.send("safe")
+        self.assertIsInstance(keyed.refusal, NotReady)
+        self.assertEqual(public.status, 200)
+        self.store.answer_lists()
+        again, _ = self.world.send("keyed", key="key-1", token_cost=30)
+        self.assertEqual(again.status, 200)
+
     def test_forgets_a_caller_that_leaves_before_the_first_configuration(self):
         self.core.start()
         _, running = self.world.send("safe")
