--- a/libs/gateway/tests/test_quotas.py
+++ b/libs/gateway/tests/test_quotas.py
@@ -200,6 +200,8 @@
         Seed of arrivals and message times.
     cut_off : int
         Processes that hear no other one, and are not heard, from ``CUT_SECONDS`` on.
+    restarts : sequence of float
+        Times in seconds at which all processes are killed and start anew.
     """
 
     PROCESSES = 22
@@ -213,18 +215,27 @@
     FLOOD_SECONDS = 8.0
     END_SECONDS = 18.0
 
-    def __init__(self, seed, cut_off):
+    def __init__(self, seed, cut_off=0, restarts=()):
+        self.restarts = list(restarts)
+        self.started = 1
         self.random = random.Random(seed)
         self.cut_off = cut_off
         self.team = Team("harbour", frozenset(), rate=self.RATE, burst=self.RATE)
         self.names = list(range(self.PROCESSES))
         self.interval = choose_interval(self.PROCESSES - 1)
-        self.quotas = {name: TeamQuotas(self.TOLERANCE) for name in self.names}
-        for name, quotas in self.quotas.items():
-            peers = [each for each in self.names if each != name]
-            quotas.set_peers(peers, choose_lifetime(self.interval), seconds(100))
-        self.messages = []
+        self.quotas = {}
         self.admitted = []
+        self._start(0.0)
+
+    def _start(self, at):
+        """Start all processes, in place of earlier ones."""
+        self.started += 1
+        self.messages = []
+        for name in self.names:
+            quotas = TeamQuotas(self.TOLERANCE)
+            peers = [each for each in self.names if each != name]
+            quotas.set_peers(peers, choose_lifetime(self.interval), seconds(100 + at))
+            self.quotas[name] = quotas
 
     @property
     def allowed(self):
@@ -247,6 +258,8 @@
         at = 0.0
         while at < self.END_SECONDS:
             at += self.STEP_SECONDS
+            if self.restarts and at >= self.restarts[0]:
+                self._start(self.restarts.pop(0))
             ratio = flood_ratio if at > self.FLOOD_SECONDS else 0.6
             self._admit(at, ratio * self.RATE * self.STEP_SECONDS)
             for name in self.names:
@@ -270,7 +283,7 @@
             self.admitted.append((at, cost))
 
     def _send_usage(self, at, name):
-        usage = self.quotas[name].make_usage(1, seconds(100 + at))
+        usage = self.quotas[name].make_usage(self.started, seconds(100 + at))
         for other in self.names:
             is_cut = at > self.CUT_SECONDS and min(name, other) < self.cut_off
             if other != name and not is_cut:
@@ -313,5 +326,14 @@
         self.assertGreaterEqual(fleet.play(flood_ratio=4), 0.95 * limit)
 
 
+class RestartedFloodTests(unittest.TestCase):
+    def test_a_flood_stays_within_the_tolerance_when_all_processes_restart(self):
+        for restarts in ((10.0,), (10.0, 12.5), (10.0, 11.0, 12.0, 13.0)):
+            for flood_ratio in (4, 8):
+                with self.subTest(restarts=restarts, flood_ratio=flood_ratio):
+                    fleet = QuotaFleet(1, restarts=restarts)
+                    self.assertLessEqual(fleet.play(flood_ratio), fleet.allowed)
+
+
 if __name__ == "__main__":
     unittest.main()
