Split the forwarding of a request: its retries, its outcomes, its caller's pauses

The retries of one request within the budget, the events on how attempts and requests ended, and the pauses of a slow caller have modules of their own; retries.py, which holds the RetryBudget, is retry_budget.py.

--- a/libs/gateway/src/balsamspoke_gateway/context.py
+++ b/libs/gateway/src/balsamspoke_gateway/context.py
@@ -14,7 +14,7 @@
 from .configuration import Configuration
 from .drained_domains import DrainedDomainsCoordinator
 from .fleet.fleet import Fleet
-from .forwarding.retries import RetryBudget
+from .forwarding.retry_budget import RetryBudget
 from .forwarding.retry_shares import compute_share
 from .messages import ReplicaLeaving
 from .observing import Observer, ProgramFailed, ReplicaChanged
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
@@ -18,6 +18,7 @@
 )
 from ..observing import BackoffRequested, HeaderUnreadable, StreamResumed
 from ..requests import ReplicaRequest
+from .caller_pauses import CallerPauses
 from .measurements import AttemptMeasurements
 from .streams import EventSplitter
 
@@ -29,10 +30,6 @@
 # for this time, its prompt is not the cause of a crash.
 HARMLESS_AFTER = timedelta(milliseconds=300)
 
-# Time for which any replica leaves an answer unread, and in which the end of one that
-# was given up earlier is noticed.
-UNREAD_TOLERANCE = timedelta(seconds=1)
-
 
 class NotRun(AttemptError):
     """The replica states that it has not run the request."""
@@ -73,7 +70,7 @@
         self._exchange = None
         self._reading = None
         self._is_recalled = False
-        self._excused_until = None
+        self._caller_pauses = CallerPauses()
         self._is_answer_recorded = False
         self.status = 0
         self.version = None
@@ -123,7 +120,7 @@
             self._context.fleet.health.record_success(self._record.id)
         except (NotSent, AnswerLost, AnswerOverdue) as error:
             self._exchange.abort()
-            if self._is_excused():
+            if self._caller_pauses.excuse(self._context.clock.monotonic()):
                 raise
             self._record_failure(error)
             await self._investigate(error)
@@ -319,11 +316,7 @@
         await self._reading
 
     async def _wait_for_caller(self):
-        """Leave the rest of the answer unread until the caller has read on.
-
-        A replica gives up an answer that is left unread for long, which is no failure
-        of the replica.
-        """
+        """Leave the rest of the answer unread until the caller has read on."""
         clock = self._context.clock
         began_at = clock.monotonic()
         time_left = max(NO_DELAY, self._forwarding.time_left())
@@ -331,14 +324,7 @@
         waiter = self._forwarding.sink.wait_for_room()
         self._reading = add_timeout(waiter, clock, time_left, error)
         await self._reading
-        now = clock.monotonic()
-        if now - began_at >= UNREAD_TOLERANCE:
-            self._excused_until = now + UNREAD_TOLERANCE
-
-    def _is_excused(self):
-        """Return whether the replica may have given up as the caller read slowly."""
-        until = self._excused_until
-        return until is not None and self._context.clock.monotonic() <= until
+        self._caller_pauses.record(began_at, clock.monotonic())
 
     def _record_success(self, answer):
         # The end of a connection may be that of the replica.
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
@@ -23,17 +23,16 @@
     StreamNotResumable,
     TimedOut,
 )
-from ..observing import ANSWERED, AttemptEnded, RequestEnded, RetryDecided
+from ..observing import ANSWERED
 from ..placement.selection import ReplicaSelection
 from ..quarantine import make_fingerprint
 from ..scheduling.coordinator import BUSY_RETRY_AFTER
 from ..stream_versions import StreamOrigin, make_stream_keys
 from .attempt import Attempt, NotRun
+from .outcomes import make_attempt_ended, make_request_ended
 from .progress import Progress
+from .request_retries import RequestRetries
 
-# Failed attempts after which a request is given up, even if the retry budget allows
-# more. Attempts that could not connect to a replica do not count.
-MAX_FAILED_ATTEMPTS = 4
 # An attempt times out after this many latency objectives if the request may go to
 # another replica.
 OVERDUE_OBJECTIVES = 2.0
@@ -223,14 +222,17 @@
             self._charged_tokens = 0
 
     async def _forward(self):
-        budget = self.context.find_retry_budget(self.service)
+        retries = RequestRetries(
+            self.context, self.request.id, self.service, self.progress
+        )
         selection = ReplicaSelection(self)
         while True:
             self._check_quarantine()
             choice = await selection.find()
             try:
                 self._check_quarantine()
-                taken_at = self._count_attempt(budget)
+                if not retries.allow_attempt():
+                    raise self._make_final_error(self._last_error)
             except GatewayError:
                 cancel_admission(self.context, choice)
                 raise
@@ -239,8 +241,7 @@
                 return
             except NotSent as error:
                 self._last_error = error
-                if taken_at is not None:
-                    budget.give_back(taken_at)
+                retries.give_back()
             except NotRun as error:
                 self._last_error = error
                 self.progress.failed_attempts += 1
@@ -252,24 +253,6 @@
                     raise self._make_final_error(error)
             self.progress.excluded_replicas.add(choice.candidate.record.id)
 
-    def _count_attempt(self, budget):
-        """Count an attempt in the RetryBudget; raise if it allows no other one.
-
-        Returns
-        -------
-        timedelta or None
-            Monotonic time at which a retry was taken; None for a first attempt.
-        """
-        now = self.context.clock.monotonic()
-        if not self.progress.is_counted:
-            self.progress.is_counted = True
-            budget.record_request(now)
-        if not self.progress.failed_attempts:
-            return None
-        if not self._take_retry(budget, now):
-            raise self._make_final_error(self._last_error)
-        return now
-
     def _check_quarantine(self):
         """Raise PromptQuarantined, or OutcomeUnknown if the request may have run."""
         try:
@@ -288,22 +271,6 @@
             and self.progress.possible_runs < self.route.max_attempts
         )
 
-    def _take_retry(self, budget, now):
-        if self.progress.failed_attempts >= MAX_FAILED_ATTEMPTS:
-            return False
-        is_allowed = budget.take(now, self.context.compute_retry_share(now))
-        decided = RetryDecided(
-            self.request.id,
-            self.service,
-            is_allowed,
-            budget.count_requests(now),
-            budget.count_retries(now),
-            self.context.processes,
-            now - self.context.started_at,
-        )
-        self.context.observer.observe(decided)
-        return is_allowed
-
     def _make_final_error(self, error):
         """Return the error that ends the request after an AttemptError."""
         if self.progress.possible_runs:
@@ -325,22 +292,8 @@
             outcome, reason = type(error).__name__, str(error)
             raise
         finally:
-            ended = AttemptEnded(
-                self.request.id,
-                choice.candidate.record.id,
-                self.service,
-                outcome,
-                reason,
-                attempt.status,
-                clock.monotonic() - started_at,
-                choice.wait,
-                attempt.backlog,
-                attempt.state_age,
-                attempt.version,
-                self.list_shared_parts(),
-                self.fingerprint,
-                choice.candidate.record.software_version,
-            )
+            duration = clock.monotonic() - started_at
+            ended = make_attempt_ended(self, choice, attempt, outcome, reason, duration)
             self.context.observer.observe(ended)
 
     def list_shared_parts(self):
@@ -430,21 +383,4 @@
         self._report_end(type(error).__name__, str(error))
 
     def _report_end(self, outcome, reason=""):
-        progress = self.progress
-        first = progress.first_event_at
-        configuration = self.context.configuration
-        self.context.observer.observe(
-            RequestEnded(
-                self.request.id,
-                "" if self.route is None else self.route.name,
-                self.team_name,
-                outcome,
-                reason,
-                self.sink.status,
-                progress.failed_attempts,
-                0 if configuration is None else configuration.version,
-                None if self.deadline is None else self.deadline - self.started_at,
-                self.context.clock.monotonic() - self.started_at,
-                None if first is None else first - self.started_at,
-            )
-        )
+        self.context.observer.observe(make_request_ended(self, outcome, reason))
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/progress.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/progress.py
@@ -30,8 +30,6 @@
         Id of the replica at which the last wait for an adapter timed out.
     adapter_timeouts : int
         Consecutive waits for an adapter at that replica that timed out.
-    is_counted : bool
-        Whether the retry budget counts the request.
     is_scheduled : bool
         Whether the request counts in its team's work.
     """
@@ -45,7 +43,6 @@
     first_event_at: timedelta | None = None
     awaited_replica: str | None = None
     adapter_timeouts: int = 0
-    is_counted: bool = False
     is_scheduled: bool = False
 
     def record_adapter_timeout(self, replica_id):
--- a/libs/gateway/tests/test_decisions.py
+++ b/libs/gateway/tests/test_decisions.py
@@ -7,7 +7,7 @@
 from balsamspoke_gateway.fleet.health import MAX_BACKOFF, MIN_BACKOFF, ReplicaHealth
 from balsamspoke_gateway.fleet.loads import ReplicaLoad
 from balsamspoke_gateway.fleet.replicas import RECOVERY_GRACE, ReplicaDirectory
-from balsamspoke_gateway.forwarding.retries import RetryBudget
+from balsamspoke_gateway.forwarding.retry_budget import RetryBudget
 from balsamspoke_gateway.forwarding.retry_shares import RetryShare
 from balsamspoke_gateway.forwarding.streams import EventSplitter
 from balsamspoke_gateway.placement.choices import (
