Tell with a decision on a retry that the other processes are not known

RetryDecided told 1 for a process that has not read their list, as for one that is alone; the part of the budget differs. It tells none now.

--- a/libs/gateway/src/balsamspoke_gateway/forwarding/request_retries.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/request_retries.py
@@ -60,7 +60,7 @@
             is_allowed,
             self._budget.count_requests(now),
             self._budget.count_retries(now),
-            context.processes,
+            context.standing.processes,
             now - context.started_at,
         )
         context.observer.observe(decided)
--- a/libs/gateway/src/balsamspoke_gateway/observing/requests.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing/requests.py
@@ -77,8 +77,8 @@
         Requests for the service that the budget of this process counts.
     counted_retries : int
         Retries that it counts, including this one.
-    processes : int
-        Entry processes that share the budget, as known here.
+    processes : int or None
+        Entry processes that share the budget; None as long as they are not known here.
     age : timedelta
         Time since the start of this process.
     """
@@ -88,7 +88,7 @@
     is_allowed: bool
     counted_requests: int
     counted_retries: int
-    processes: int
+    processes: int | None
     age: timedelta
 
 
