--- a/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
@@ -120,7 +120,7 @@
             self._context.fleet.health.record_success(self._record.id)
         except (NotSent, AnswerLost, AnswerOverdue) as error:
             self._exchange.abort()
-            if self._caller_pauses.excuse(self._context.clock.monotonic()):
+            if self._caller_pauses.is_excused(self._context.clock.monotonic()):
                 raise
             self._record_failure(error)
             await self._investigate(error)
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/caller_pauses.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/caller_pauses.py
@@ -22,6 +22,6 @@
         if now - began_at >= UNREAD_TOLERANCE:
             self._excused_until = now + UNREAD_TOLERANCE
 
-    def excuse(self, now):
-        """Return whether the replica may have given up for a pause at a time."""
+    def is_excused(self, now):
+        """Return whether a replica that gives up now may do so for a pause."""
         return self._excused_until is not None and now <= self._excused_until
--- a/libs/gateway/src/balsamspoke_gateway/store/view.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/view.py
@@ -249,7 +249,7 @@
         context.quotas.set_peers(peers, lifetime, context.clock.monotonic())
         context.observer.observe(EntriesListed(context.processes))
         self._open_if_ready()
-        if is_first:
+        if is_first and self.peers.is_known:
             self._run(self._registration.maintain())
 
     def _open_if_ready(self):
