--- a/libs/gateway/src/balsamspoke_gateway/forwarding/retry_shares.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/retry_shares.py
@@ -3,11 +3,11 @@
 from dataclasses import dataclass
 
 # Fraction of its part that a process uses.
-STEADY_FRACTION = 0.75
+STEADY_FRACTION = 0.55
 # The same while an earlier process at its place may have used its own fraction in the
 # current window, just before it ended. Both together leave a rest for requests that are
 # spread unevenly over processes and time.
-RESTARTED_FRACTION = 0.2
+RESTARTED_FRACTION = 0.4
 
 
 @dataclass(frozen=True, slots=True)
