Review case 3: a stream with long event ids begins again when it is taken up

Event ids of more than 15 digits count as absent when a caller takes its stream up, and the header is dropped, so the replica runs the request from its first event.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,89 +1,91 @@
-"""The store cuts off waiting watches, and a replica leaves; see claim.txt."""
+"""A stream whose events have long ids is taken up again; see claim.txt."""
 
 import asyncio
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 
-from harness import HAS_TROUBLE, run_case
-from plain import PlainDeployment
+from engine import MODEL, EngineDeployment
+from harness import HAS_TROUBLE, Caller, run_case
 
-TRAFFIC_S = 11.0
-REQUESTS_PER_SECOND = 40
-LEAVING_AT_S = 4.0
-# Times at which the store cuts off the watches that wait.
-CUTS_AT_S = (3.8, 5.3)
-DRAIN_S = 2.0
-# The leaving replica serves a little longer than that, and then exits.
-EXIT_AFTER_S = DRAIN_S + 1.0
-# Time that each request takes at a replica.
-WORK_S = 0.25
+# Microseconds since the Unix epoch, as the ids of events.
+FIRST_ID = 1_765_000_000_000_000
+EVENTS = 30
+EVENT_INTERVAL_S = 0.1
+STREAMS = 12
+KILL_AFTER_S = 1.5
 
 
 async def play(record, scratch):
     """Return whether the rule was broken."""
-    deployment = PlainDeployment(record, scratch)
-    store, leaving = deployment.store, deployment.replicas[0]
-    for replica in deployment.replicas:
-        replica.work_s = WORK_S
+    deployment = EngineDeployment(record, scratch, entries=2)
+    replica = deployment.replica
+    replica.first_id = FIRST_ID
+    replica.events, replica.event_interval_s = EVENTS, EVENT_INTERVAL_S
     try:
         await deployment.start()
-        traffic = asyncio.create_task(
-            deployment.send_traffic(TRAFFIC_S, REQUESTS_PER_SECOND)
-        )
-        loop = asyncio.get_running_loop()
+        streams = [
+            asyncio.create_task(read_stream(record, deployment, number))
+            for number in range(STREAMS)
+        ]
+        await asyncio.sleep(KILL_AFTER_S)
         if HAS_TROUBLE:
-            for delay in CUTS_AT_S:
-                loop.call_later(delay, cut_watches, record, store)
-        await asyncio.sleep(LEAVING_AT_S)
-        store.remove("servers", leaving.id)
-        acknowledged_at = time.monotonic()
-        record.write(f"the store acknowledges the removal of {leaving.id}")
-        loop.call_later(EXIT_AFTER_S, exit_replica, leaving)
-        await traffic
-        return judge(record, deployment, acknowledged_at)
+            record.write("entry-1 is killed")
+            await deployment.entries[0].kill()
+        return judge(record, await asyncio.gather(*streams))
     finally:
         await deployment.stop()
 
 
-def cut_watches(record, store):
-    """Close the connections of the watches that wait."""
-    record.write(f"the store cuts off waiting watches: {store.cut_watches()}")
+async def read_stream(record, deployment, number):
+    """Read a stream; take it up at the other process if its connection breaks."""
+    headers = {
+        "Deadline-Ms": "5000",
+        "Model": MODEL,
+        "Token-Count": "100,30",
+        "Prompt-Prefix": f"5c1e:60,{number:x}:40",
+    }
+    body = f"prompt {number}".encode()
+    first, second = (entry.ip for entry in deployment.entries)
+    request_id = f"s{number}"
+    outcome = await Caller(record, first).call(
+        request_id, "talk", "POST", headers, body, 5.0
+    )
+    ids = list_ids(outcome.body)
+    if outcome.is_complete or not ids:
+        return ids, outcome
+    more = {"Last-Event-Id": str(ids[-1]), "Resumes": request_id}
+    record.write(f"caller takes up {request_id} after event {ids[-1]}")
+    outcome = await Caller(record, second).call(
+        f"{request_id}b", "talk", "POST", {**headers, **more}, body, 5.0
+    )
+    return ids + list_ids(outcome.body), outcome
 
 
-def exit_replica(replica):
-    """End a replica, with its connections and the requests that it runs."""
-    replica.record.write(f"{replica.id} exits")
-    replica.close()
+def list_ids(body):
+    """Return the ids of the whole events of a stream."""
+    *events, _ = body.split(b"\n\n")
+    return [int(each.split(b"\n")[0].removeprefix(b"id: ")) for each in events]
 
 
-def judge(record, deployment, acknowledged_at):
-    """Return whether requests reached the leaving replica after the drain time."""
-    sent_at = {each.request: each.sent_at for each in deployment.outcomes}
-    runs = [
-        read_at - acknowledged_at
-        for read_at, request in deployment.replicas[0].runs
-        if read_at > acknowledged_at and sent_at[request] > acknowledged_at
-    ]
-    late = [each for each in runs if each > DRAIN_S]
-    leaving = deployment.replicas[0].id
-    cut = {request for _, request in deployment.replicas[0].cut_runs}
-    lost = [
-        each.request
-        for each in deployment.outcomes
-        if each.kind == "book" and each.request in cut and each.status != 200
+def judge(record, streams):
+    """Return whether a stream holds an event twice, or lacks one."""
+    expected = list(range(FIRST_ID, FIRST_ID + EVENTS))
+    complete = [
+        ids for ids, outcome in streams if outcome.status == 200 and outcome.is_complete
     ]
+    broken = [ids for ids in complete if ids != expected]
+    for ids in broken:
+        twice = len(ids) - len(set(ids))
+        record.write(f"a stream that ended as complete: {twice} events came twice")
     text = (
-        f"{len(deployment.outcomes)} requests ({deployment.count_statuses()}); at the "
-        f"leaving replica after the acknowledgement: {len(runs)}, the last after "
-        f"{max(runs, default=0.0):.2f} s; later than {DRAIN_S} s: {len(late)}; "
-        f"bookings lost as {leaving} ended: {len(lost)}"
+        f"{len(streams)} streams, {len(complete)} of them ended as complete; with "
+        f"events twice or missing: {len(broken)}"
     )
     record.write(text)
     print(text)
-    return bool(late)
+    return bool(broken)
 
 
 run_case(play, Path(__file__).parent)
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -446,7 +446,7 @@
     if "content-length" in headers:
         outcome.body = await reader.readexactly(int(headers["content-length"]))
     elif headers.get("transfer-encoding") == "chunked":
-        while size := int((await reader.readline()).split(b";")[0], 16):
+        while size := int((await reader.readuntil(b"\r\n")).split(b";")[0], 16):
             outcome.body += (await reader.readexactly(size + 2))[:-2]
         await reader.readexactly(2)
     else:
