--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -222,18 +222,33 @@
 
 
 class EngineDeployment:
-    """Entry processes, and a model replica with its side process."""
+    """Entry processes, and model replicas with their side processes.
 
-    def __init__(self, record, scratch, entries=1):
+    Attributes
+    ----------
+    replica : EngineReplica
+        The first replica, to which a case's disruption happens.
+    adapters : tuple of str
+        Adapters that the callers ask for; empty for no requests.
+    """
+
+    def __init__(self, record, scratch, entries=1, replicas=1):
         self.record = record
         self.store = Store(record)
-        ip = f"{NETWORK}.2.1"
-        self.replica = EngineReplica(record, "e-1", ip)
+        numbers = range(1, replicas + 1)
+        ips = {number: f"{NETWORK}.2.{number}" for number in numbers}
+        self.replicas = [
+            EngineReplica(record, f"e-{number}", ip) for number, ip in ips.items()
+        ]
+        self.replica = self.replicas[0]
         self.entries = [
             Program(scratch, f"entry-{number}", "entry", f"{NETWORK}.1.{number}")
             for number in range(1, entries + 1)
         ]
-        self.side = Program(scratch, "side-1", "side", ip, f"{ip}:{REPLICA_PORT}")
+        self.sides = [
+            Program(scratch, f"side-{number}", "side", ip, f"{ip}:{REPLICA_PORT}")
+            for number, ip in ips.items()
+        ]
         self.adapters = ()
         self.outcomes = []
         self._count = 0
@@ -245,9 +260,11 @@
             "talk", "streaming", "engines", 5000, 600, 2, resumable=True, sticky=True
         )
         self.store.put("config", "main", make_configuration(1, [talk], ENGINE))
-        await self.replica.listen(self.replica.ip, REPLICA_PORT)
-        self.write_entry()
-        await self.side.start()
+        for replica in self.replicas:
+            await replica.listen(replica.ip, REPLICA_PORT)
+            self.store.put("servers", replica.id, replica.describe())
+        for side in self.sides:
+            await side.start()
         for entry in self.entries:
             await entry.start()
         for entry in self.entries:
@@ -259,19 +276,22 @@
         """End all processes, and close all sockets."""
         for entry in self.entries:
             await entry.kill()
-        await self.side.kill()
-        self.replica.close()
+        for side in self.sides:
+            await side.kill()
+        for replica in self.replicas:
+            replica.close()
         self.store.close()
         await asyncio.sleep(0.1)
 
     def write_entry(self):
-        """Write the replica's entry in the store, as it does itself."""
+        """Write the first replica's entry in the store, as it does itself."""
         self.store.put("servers", self.replica.id, self.replica.describe())
 
     def announce(self, adapter, version):
         """Announce a version of an adapter, as the operator does."""
         self.record.write(f"the operator announces {adapter}@{version}")
-        self.replica.newest[adapter] = version
+        for replica in self.replicas:
+            replica.newest[adapter] = version
         spec = {"model": MODEL, "adapter": adapter, "version": version}
         self.store.put("versions", f"{MODEL}.{adapter}", spec)
 
@@ -280,7 +300,8 @@
         tasks = []
         ends_at = time.monotonic() + seconds
         while time.monotonic() < ends_at:
-            tasks.append(asyncio.create_task(self._send_one()))
+            if self.adapters:
+                tasks.append(asyncio.create_task(self._send_one()))
             await asyncio.sleep(1 / per_second)
         await asyncio.gather(*tasks)
 
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -534,10 +534,17 @@
     """Play a case; exit with 1 if the rule was broken, 0 if it held, 2 otherwise."""
     record = Record(Path(folder, "record.txt"))
     record.write(f"disruption: {'yes' if HAS_TROUBLE else 'no'}")
+
+    async def play_until_stopped(scratch):
+        # A caller that ends the case early leaves no process behind.
+        cancel = asyncio.current_task().cancel
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, cancel)
+        return await play(record, scratch)
+
     try:
         with tempfile.TemporaryDirectory() as scratch:
-            is_broken = asyncio.run(play(record, scratch))
-    except Exception as error:
+            is_broken = asyncio.run(play_until_stopped(scratch))
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f"the case could not run: {error!r}")
         print(f"the case could not run: {error!r}")
         sys.exit(2)
