--- a/libs/gateway/src/balsamspoke_gateway/observing/__init__.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing/__init__.py
@@ -3,7 +3,7 @@
 Event names and field names are the names in the logs.
 """
 
-from .observers import Observer, Observers, ProgramFailed
+from .observers import Observer, Observers, ProgramFailed, TimersLate
 from .quarantine import PromptsQuarantined, QuarantineLifted, ReplicaCrashed
 from .replicas import (
     AdaptersRefused,
@@ -82,5 +82,6 @@
     "StoreRestored",
     "StreamResumed",
     "TeamsLimited",
+    "TimersLate",
     "VersionsRegistered",
 ]
--- a/libs/gateway/src/balsamspoke_gateway/observing/observers.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing/observers.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
+from datetime import timedelta
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,6 +18,19 @@
     traceback: str
 
 
+@dataclass(frozen=True, slots=True)
+class TimersLate:
+    """The process's timers ran late; written once in ten seconds at most.
+
+    Attributes
+    ----------
+    lateness : timedelta
+        The longest since the last line.
+    """
+
+    lateness: timedelta
+
+
 class Observer(ABC):
     """Receiver of the events of this module."""
 
--- a/libs/transport/src/balsamspoke_transport/logs.py
+++ b/libs/transport/src/balsamspoke_transport/logs.py
@@ -16,6 +16,7 @@
     RequestsEnded,
     RetryDecided,
     StreamResumed,
+    TimersLate,
 )
 from loguru import logger
 
@@ -44,7 +45,11 @@
     RetryDecided,
     StreamResumed,
 )
-_LEVELS = {DependencyLost: "WARNING", ProgramFailed: "ERROR"}
+_LEVELS = {
+    DependencyLost: "WARNING",
+    ProgramFailed: "ERROR",
+    TimersLate: "WARNING",
+}
 
 
 class LineWriter:
