Run timers also while each turn of the loop moves another one

Cause: each request moves its connection's timeout to a sooner moment. Twisted's asyncio reactor then cancels its one handle for all timers, also one that is due and waits behind the sockets of the same turn, and makes a new one, which waits behind the next turn's sockets. All programs run this reactor. The same cause on a related path: Twisted's timers follow the time of day, which may be set back by seconds; they stood still for so long.

--- a/libs/ctl/src/balsamspoke_ctl/command.py
+++ b/libs/ctl/src/balsamspoke_ctl/command.py
@@ -79,9 +79,9 @@
 
 
 def _run_in_reactor(parsed):
-    from twisted.internet import asyncioreactor
+    from balsamspoke_transport.reactor import install_reactor
 
-    asyncioreactor.install()
+    install_reactor()
     from twisted.internet import reactor
 
     results = []
--- a/libs/daemon/src/balsamspoke_daemon/command.py
+++ b/libs/daemon/src/balsamspoke_daemon/command.py
@@ -40,11 +40,11 @@
 
 
 def _run(settings):
-    from twisted.internet import asyncioreactor
+    from balsamspoke_transport.reactor import install_reactor
 
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
-    asyncioreactor.install(loop)
+    install_reactor(loop)
 
     from twisted.internet import reactor
 
--- a/libs/standins/src/balsamspoke_standins/serving.py
+++ b/libs/standins/src/balsamspoke_standins/serving.py
@@ -6,8 +6,8 @@
 
 import orjson
 from balsamspoke_platform import listen_eagerly
+from balsamspoke_transport.reactor import install_reactor
 from balsamspoke_types.exceptions import BalsamspokeError
-from twisted.internet import asyncioreactor
 from twisted.internet.error import ReactorAlreadyInstalledError
 from twisted.python import log
 from twisted.web.resource import Resource
@@ -172,7 +172,7 @@
 def get_reactor():
     """Return Twisted's asyncio reactor; install it on the first call."""
     try:
-        asyncioreactor.install()
+        install_reactor()
     except ReactorAlreadyInstalledError:
         pass
     from twisted.internet import reactor
