Give an answer all of its route's time

Cause: the time for an attempt was the time left now, from which the time since the send was taken once more at each piece of the answer. Evidence: test_an_answer_has_all_of_its_time failed for the booking before, and holds now.

--- a/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
@@ -244,14 +244,14 @@
 
     def _limit_to_attempt(self, waiter):
         """Limit a Deferred to the time left for the attempt."""
-        forwarding = self._forwarding
-        now = self._context.clock.monotonic()
-        timeout = forwarding.choose_attempt_timeout() - (now - self._sent_at)
-        if timeout < forwarding.time_left():
-            error = AnswerOverdue("no answer in the time for one attempt")
-        else:
-            timeout = forwarding.time_left()
-            error = TimedOut("the time for the answer is over")
+        timeout = self._forwarding.time_left()
+        error = TimedOut("the time for the answer is over")
+        overdue_time = self._forwarding.choose_overdue_time()
+        if overdue_time is not None:
+            elapsed = self._context.clock.monotonic() - self._sent_at
+            if overdue_time - elapsed < timeout:
+                timeout = overdue_time - elapsed
+                error = AnswerOverdue("no answer in the time for one attempt")
         self._reading = add_timeout(waiter, self._context.clock, timeout, error)
         return self._reading
 
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
@@ -326,15 +326,17 @@
         held = self.context.fleet.find_held(record, target.model)
         return None if held is None else held.get(target.adapter)
 
-    def choose_attempt_timeout(self):
-        """Return the time limit of an attempt until its answer or first event."""
-        time_left = self.time_left()
+    def choose_overdue_time(self):
+        """Return the time after which an answer or first event is overdue, or None.
+
+        It is None if the request can't go to another replica.
+        """
         replicas = self.context.fleet.directory.list_service(
             self.service, self.progress.software_version
         )
         if not self._has_runs_remaining or len(replicas) < 2:
-            return time_left
-        return min(time_left, OVERDUE_OBJECTIVES * self.route.objective)
+            return None
+        return OVERDUE_OBJECTIVES * self.route.objective
 
     @property
     def team_name(self):
--- a/libs/gateway/tests/test_forwarding.py
+++ b/libs/gateway/tests/test_forwarding.py
@@ -124,6 +124,21 @@
         self.world.pass_time(0.02)
         self.assertIsInstance(sink.failure, TimedOut)
 
+    # An answer that came after half of its time was cut, and the caller got a 502.
+    def test_an_answer_has_all_of_its_time(self):
+        for route in ("safe", "unsafe"):
+            with self.subTest(route=route):
+                self.setUp()
+                self.script_both(Answer(goes_silent=True))
+                sink, _ = self.world.send(route, caller_timeout=2)
+                self.world.pass_time(0.3)
+                answers = len(self.world.client.exchanges)
+                self.world.client.exchanges[-1].supply(b", more")
+                self.world.pass_time(0.5 if route == "safe" else 1.6)
+                self.assertEqual(len(self.world.client.exchanges), answers)
+                self.world.client.exchanges[-1].supply(b"")
+                self.assertEqual((sink.status, sink.body), (200, b"body, more"))
+
     def test_aborts_the_exchange_when_the_caller_disconnects(self):
         self.script_both(Answer(is_silent=True))
         sink, running = self.world.send("safe")
