Bound what a replica's bytes may do in one turn of the event loop

Cause: a read of 64 KB holds some ten thousand chunks. Each was handed on by itself, with a timer and a turn of a coroutine, and all of them before any other socket or timer; a few such connections took all of the process. Three of the new tests failed before. Chunks that come together go on as one piece. It bounds heads, interim answers, answers to earlier requests and the store's pages alike, as all go by this connection.

--- a/libs/transport/src/balsamspoke_transport/connections.py
+++ b/libs/transport/src/balsamspoke_transport/connections.py
@@ -22,6 +22,9 @@
 # Reading from a connection pauses while this much of a body waits for its consumer.
 MAX_BUFFERED_BYTES = 32_768
 MAX_HEAD_BYTES = 65_536
+# Events of the parser, such as heads and chunks, that one connection may bring in one
+# turn of the event loop.
+MAX_EVENTS_PER_TURN = 64
 
 # Keep-alive timeout that is assumed if the server states none.
 DEFAULT_KEEP_ALIVE_TIMEOUT = timedelta(seconds=2)
@@ -162,6 +165,8 @@
     ----------
     clock : Clock
         Measures how long the connection has been idle.
+    turns : TurnQueue
+        Goes on with the work that exceeds a turn.
     on_idle : callable
         Called with this connection when it can be used for another request.
     on_closed : callable
@@ -173,8 +178,9 @@
         Whether the connection is closed or being closed.
     """
 
-    def __init__(self, clock, on_idle, on_closed):
+    def __init__(self, clock, turns, on_idle, on_closed):
         self._clock = clock
+        self._turns = turns
         self._on_idle = on_idle
         self._on_closed = on_closed
         self._exchange = None
@@ -182,6 +188,9 @@
         self._is_stale_response = False
         self._has_answered = False
         self._is_paused = False
+        # Whether bytes that were received are still to be parsed.
+        self._is_behind = False
+        self._body_pieces = []
         self._keep_alive_timeout = DEFAULT_KEEP_ALIVE_TIMEOUT
         self._idle_since = None
         self.is_closed = False
@@ -226,7 +235,8 @@
         """Continue to read after the exchange's buffer was emptied."""
         if self._is_paused:
             self._is_paused = False
-            self.transport.resumeProducing()
+            if not self._is_behind:
+                self.transport.resumeProducing()
 
     def dataReceived(self, data):
         """Parse bytes of the response; close an idle connection that receives any."""
@@ -265,28 +275,63 @@
     def _parse(self, data):
         try:
             self._parser.receive_data(data)
-            self._handle_events()
         except h11.RemoteProtocolError as error:
-            exchange, self._exchange = self._exchange, None
-            self.is_closed = True
-            self.transport.abortConnection()
-            if exchange is not None:
-                exchange.handle_failure(ReplyBroken(f"no HTTP answer: {error}"))
+            self._fail(error)
+            return
+        if self._handle_events():
+            self._is_behind = True
+            self.transport.pauseProducing()
+            self._turns.add(self._catch_up)
+
+    def _catch_up(self):
+        """Parse on in a later turn; return whether there is more to parse."""
+        self._is_behind = self._handle_events()
+        if not self._is_behind and not self._is_paused and not self.is_closed:
+            self.transport.resumeProducing()
+        return self._is_behind
 
     def _handle_events(self):
-        while self._exchange is not None:
-            event = self._parser.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            kind = type(event)
-            if kind is h11.Data:
-                self._handle_data(bytes(event.data))
-            elif kind is h11.Response:
-                self._handle_head(event)
-            elif kind is h11.EndOfMessage:
-                self._handle_end()
-            elif kind is h11.ConnectionClosed:
-                return
+        """Handle the events of one turn; return whether there may be more."""
+        turn = range(MAX_EVENTS_PER_TURN)
+        try:
+            has_more = all(self._handle_next_event() for _ in turn)
+            self._hand_on_body()
+            return has_more
+        except h11.RemoteProtocolError as error:
+            self._hand_on_body()
+            self._fail(error)
+            return False
+
+    def _handle_next_event(self):
+        """Handle the parser's next event; return whether there may be another one."""
+        if self._exchange is None:
+            return False
+        event = self._parser.next_event()
+        kind = type(event)
+        if kind is h11.Data:
+            self._body_pieces.append(bytes(event.data))
+            return True
+        self._hand_on_body()
+        if event is h11.NEED_DATA or event is h11.PAUSED:
+            return False
+        if kind is h11.Response:
+            self._handle_head(event)
+        elif kind is h11.EndOfMessage and self._exchange is not None:
+            self._handle_end()
+        return kind is not h11.ConnectionClosed
+
+    def _hand_on_body(self):
+        """Hand the pieces of the body that came together to the exchange as one."""
+        pieces, self._body_pieces = self._body_pieces, []
+        if pieces and self._exchange is not None:
+            self._handle_data(b"".join(pieces))
+
+    def _fail(self, error):
+        exchange, self._exchange = self._exchange, None
+        self.is_closed = True
+        self.transport.abortConnection()
+        if exchange is not None:
+            exchange.handle_failure(ReplyBroken(f"no HTTP answer: {error}"))
 
     def _handle_head(self, event):
         head = HttpHead(event.status_code, tuple(event.headers))
--- a/libs/transport/src/balsamspoke_transport/pool.py
+++ b/libs/transport/src/balsamspoke_transport/pool.py
@@ -9,6 +9,7 @@
 
 from .connections import HttpConnection, HttpExchange
 from .exceptions import ConnectionFailed
+from .turns import TurnQueue
 
 # Within a region a connection is established in a few milliseconds.
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
@@ -34,6 +35,7 @@
         self._clock = clock
         self._id_header = id_header
         self._connect_timeout = connect_timeout
+        self._turns = TurnQueue(clock)
         self._idle_connections = {}
 
     def send(self, endpoint, request):
@@ -78,7 +80,7 @@
                 idle.remove(connection)
 
         factory = _ConnectionFactory(
-            lambda: HttpConnection(self._clock, add_idle, remove_idle)
+            lambda: HttpConnection(self._clock, self._turns, add_idle, remove_idle)
         )
         connector = self._connect_to(endpoint, factory)
         connected = factory.connected
--- a/libs/transport/tests/test_connections.py
+++ b/libs/transport/tests/test_connections.py
@@ -4,9 +4,14 @@
 
 from balsamspoke_fakes import VirtualClock, VirtualTime
 from balsamspoke_fakes.properties import examples
-from balsamspoke_transport.connections import HttpConnection, HttpExchange
+from balsamspoke_transport.connections import (
+    MAX_EVENTS_PER_TURN,
+    HttpConnection,
+    HttpExchange,
+)
 from balsamspoke_transport.exceptions import ReplyBroken
 from balsamspoke_transport.http_requests import HttpRequest
+from balsamspoke_transport.turns import MAX_CONNECTIONS_PER_TURN, TurnQueue
 from hypothesis import given
 from hypothesis import strategies as st
 from twisted.internet.error import ConnectionDone, ConnectionLost
@@ -46,8 +51,9 @@
     def setUp(self):
         self.time = VirtualTime()
         self.idle = []
+        clock = VirtualClock(self.time)
         self.connection = HttpConnection(
-            VirtualClock(self.time), self.idle.append, lambda _: None
+            clock, TurnQueue(clock), self.idle.append, lambda _: None
         )
         self.transport = FakeTransport()
         self.connection.makeConnection(self.transport)
@@ -233,6 +239,131 @@
         exchange.abort()
         self.assertTrue(self.transport.is_aborted)
 
+    def receive_small_chunks(self, count):
+        head = (
+            b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        self.connection.dataReceived(head + b"1;x=y\r\na\r\n" * count)
+
+    def pass_turn(self):
+        self.time.advance(timedelta(0))
+
+    # One replica's endless body of small chunks held up all else in the process.
+    def test_a_connection_does_a_bounded_amount_of_work_in_a_turn(self):
+        exchange = self.send_request()
+        count = 10 * MAX_EVENTS_PER_TURN
+        pieces = []
+        self.read_on(exchange, pieces)
+        # In virtual time a later turn comes at the same moment, so this test runs them.
+        turns = []
+        self.connection._turns.add = turns.append
+        self.receive_small_chunks(count)
+        received = 0
+        self.assertEqual(len(turns), 1)
+        while turns:
+            self.assertEqual(self.transport.producerState, "paused")
+            self.assertLessEqual(len(b"".join(pieces)) - received, MAX_EVENTS_PER_TURN)
+            received = len(b"".join(pieces))
+            if not turns[0]():
+                turns.pop()
+        self.assertEqual(b"".join(pieces), b"a" * count)
+        self.assertEqual(self.transport.producerState, "producing")
+
+    def read_on(self, exchange, pieces):
+        """Add the pieces of a body to a list as they come."""
+
+        def add(piece):
+            pieces.append(piece)
+            if piece:
+                self.read_on(exchange, pieces)
+
+        exchange.read_piece().addCallback(add)
+
+    # Each small chunk was handed on by itself, with a timer and a turn of a coroutine.
+    def test_chunks_that_come_together_are_handed_on_as_one_piece(self):
+        exchange = self.send_request()
+        pieces = []
+        exchange.read_piece().addCallback(pieces.append)
+        self.receive_small_chunks(20)
+        self.assertEqual(pieces, [b"a" * 20])
+
+    def test_the_rest_of_a_body_follows_in_later_turns(self):
+        exchange = self.send_request()
+        self.receive_small_chunks(1000)
+        self.connection.dataReceived(b"0\r\n\r\n")
+        self.pass_turn()
+        self.assertEqual(self.read_all(exchange), (b"a" * 1000, "whole"))
+        self.assertEqual(self.idle, [self.connection])
+        self.assertEqual(self.transport.producerState, "producing")
+
+    def test_an_exchange_that_is_aborted_does_no_more_work(self):
+        exchange = self.send_request()
+        self.receive_small_chunks(1000)
+        exchange.abort()
+        self.pass_turn()
+        self.assertTrue(self.transport.is_aborted)
+        self.assertEqual(self.transport.producerState, "paused")
+
+    def test_what_came_before_malformed_bytes_is_handed_on(self):
+        exchange = self.send_request()
+        self.receive_small_chunks(3)
+        self.connection.dataReceived(b"1\r\nbnot a chunk\r\n")
+        self.assertEqual(self.read_all(exchange), (b"aaab", "broken"))
+
+
+class TurnQueueTests(unittest.TestCase):
+    def setUp(self):
+        self.calls = []
+        self.clock = RecordingClock(VirtualTime(), self.calls)
+        self.queue = TurnQueue(self.clock)
+
+    def make_work(self, name, steps):
+        remaining = list(range(steps))
+
+        def work():
+            self.calls.append(name)
+            remaining.pop()
+            return bool(remaining)
+
+        return work
+
+    # The connections of a sick replica took a turn that grew with their number.
+    def test_few_connections_go_on_in_each_turn_and_take_turns(self):
+        count = 3 * MAX_CONNECTIONS_PER_TURN
+        for name in range(count):
+            self.queue.add(self.make_work(name, 2))
+        self.clock.time.advance(timedelta(0))
+        self.assertEqual(
+            [each for each in self.calls if each != "turn"], [*range(count)] * 2
+        )
+        turns = " ".join(map(str, self.calls)).split("turn")
+        sizes = [len(turn.split()) for turn in turns]
+        self.assertEqual(max(sizes), MAX_CONNECTIONS_PER_TURN)
+
+    def test_one_that_fails_does_not_stop_the_others(self):
+        def fail():
+            raise ValueError
+
+        self.queue.add(fail)
+        self.queue.add(self.make_work("other", 2))
+        with self.assertRaises(ValueError):
+            self.clock.time.advance(timedelta(0))
+        self.clock.time.advance(timedelta(0))
+        self.assertEqual(self.calls.count("other"), 2)
+
+
+class RecordingClock(VirtualClock):
+    def __init__(self, time, calls):
+        super().__init__(time)
+        self._calls = calls
+
+    def call_later(self, delay, function, *arguments):
+        def record():
+            self._calls.append("turn")
+            function(*arguments)
+
+        return super().call_later(delay, record)
+
 
 if __name__ == "__main__":
     unittest.main()
