End an answer that never pauses at its time

Cause: each wait for a piece had a timer of its own, which the piece cancelled before the timer ran, as a turn handles its sockets first. Evidence: test_an_answer_that_never_pauses_ends_at_its_time failed for a whole answer and a stream. Why it works: an attempt has one timer over all of its waits, which no piece cancels. A stream's events no longer set and cancel a timer each.

--- a/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
@@ -2,7 +2,6 @@
 
 from datetime import timedelta
 
-from balsamspoke_types.timing import add_timeout
 from twisted.internet.defer import CancelledError, Deferred
 
 from ..admission.messages import PrefillEnded
@@ -21,6 +20,7 @@
 from .caller_pauses import CallerPauses
 from .measurements import AttemptMeasurements
 from .streams import EventSplitter
+from .time_limit import TimeLimit
 
 _FIRST_SERVER_ERROR = 500
 # Longest answer that is read whole before it is forwarded. One that doesn't end must
@@ -69,6 +69,7 @@
         self._first_event_at = None
         self._exchange = None
         self._reading = None
+        self._time_limit = TimeLimit(self._context.clock)
         self._is_recalled = False
         self._caller_pauses = CallerPauses()
         self._is_answer_recorded = False
@@ -167,6 +168,7 @@
         self._exchange = self._context.client.send(self._record, outgoing)
 
     def _end(self):
+        self._time_limit.close()
         self._load.in_flight -= 1
         self._context.quarantine.remove_attempt(self)
         self._release_unread_tokens()
@@ -244,15 +246,21 @@
 
     def _limit_to_attempt(self, waiter):
         """Limit a Deferred to the time left for the attempt."""
-        timeout = self._forwarding.time_left()
+        forwarding = self._forwarding
+        due_at = forwarding.deadline
         error = TimedOut("the time for the answer is over")
-        overdue_time = self._forwarding.choose_overdue_time()
-        if overdue_time is not None:
-            elapsed = self._context.clock.monotonic() - self._sent_at
-            if overdue_time - elapsed < timeout:
-                timeout = overdue_time - elapsed
-                error = AnswerOverdue("no answer in the time for one attempt")
-        self._reading = add_timeout(waiter, self._context.clock, timeout, error)
+        overdue_time = forwarding.choose_overdue_time()
+        if overdue_time is not None and self._sent_at + overdue_time < due_at:
+            due_at = self._sent_at + overdue_time
+            error = AnswerOverdue("no answer in the time for one attempt")
+        return self._limit(waiter, due_at, error)
+
+    def _limit_to_deadline(self, waiter, reason):
+        """Limit a Deferred to the time left for the request."""
+        return self._limit(waiter, self._forwarding.deadline, TimedOut(reason))
+
+    def _limit(self, waiter, due_at, error):
+        self._reading = self._time_limit.limit(waiter, due_at, error)
         return self._reading
 
     async def _read_body(self):
@@ -281,10 +289,7 @@
 
     async def _forward_stream(self, answer):
         splitter = EventSplitter()
-        while True:
-            piece = await self._read_stream_piece()
-            if not piece:
-                break
+        while piece := await self._read_stream_piece():
             events = splitter.add(piece)
             if events and self._first_event_at is None:
                 self._check_first_event(events[0])
@@ -319,11 +324,8 @@
         """Leave the rest of the answer unread until the caller has read on."""
         clock = self._context.clock
         began_at = clock.monotonic()
-        time_left = max(NO_DELAY, self._forwarding.time_left())
-        error = TimedOut("the caller reads too slowly")
         waiter = self._forwarding.sink.wait_for_room()
-        self._reading = add_timeout(waiter, clock, time_left, error)
-        await self._reading
+        await self._limit_to_deadline(waiter, "the caller reads too slowly")
         self._caller_pauses.record(began_at, clock.monotonic())
 
     def _record_success(self, answer):
@@ -335,10 +337,7 @@
         reading = self._exchange.read_piece()
         if self._first_event_at is None:
             return self._limit_to_attempt(reading)
-        time_left = max(NO_DELAY, self._forwarding.time_left())
-        error = TimedOut("the time for the stream is over")
-        self._reading = add_timeout(reading, self._context.clock, time_left, error)
-        return self._reading
+        return self._limit_to_deadline(reading, "the time for the stream is over")
 
     def _forward_events(self, answer, events):
         progress = self._forwarding.progress
