Forward the events of one piece over several turns, and search their bytes once

Cause: all events of a piece, up to some ten thousand, were parsed and forwarded at once, and the whole buffer was copied and searched for each piece of an event. Evidence: both new tests failed before. Why it works: 64 events of a stream are forwarded a turn, within the stream's time, and the search goes on where it ended.

--- a/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+from balsamspoke_types.timing import sleep
 from twisted.internet.defer import CancelledError, Deferred
 
 from ..admission.messages import PrefillEnded
@@ -26,6 +27,8 @@
 # Longest answer that is read whole before it is forwarded. One that doesn't end must
 # not fill the memory.
 MAX_WHOLE_ANSWER_BYTES = 4_194_304
+# Events of a stream that are forwarded in one turn of the event loop.
+MAX_EVENTS_PER_TURN = 64
 # A prompt that crashes replicas does so as the answer begins. Once a stream has gone on
 # for this time, its prompt is not the cause of a crash.
 HARMLESS_AFTER = timedelta(milliseconds=300)
@@ -290,15 +293,10 @@
     async def _forward_stream(self, answer):
         splitter = EventSplitter()
         while piece := await self._read_stream_piece():
-            events = splitter.add(piece)
-            if events and self._first_event_at is None:
-                self._check_first_event(events[0])
-                await self._register_version()
-            self._forward_events(answer, events)
+            splitter.add(piece)
+            await self._forward_whole_events(answer, splitter)
             if splitter.is_too_long:
                 raise AnswerLost("the stream has an event without an end")
-            if self._forwarding.sink.is_full:
-                await self._wait_for_caller()
         sink = self._forwarding.sink
         if splitter.has_partial_event:
             raise ConnectionLost("the stream ends in the middle of an event")
@@ -309,6 +307,19 @@
         sink.finish()
         self._record_success(answer)
 
+    async def _forward_whole_events(self, answer, splitter):
+        """Forward the events that are whole by now, some in each turn of the loop."""
+        while events := splitter.take(MAX_EVENTS_PER_TURN):
+            if self._first_event_at is None:
+                self._check_first_event(events[0])
+                await self._register_version()
+            self._forward_events(answer, events)
+            if self._forwarding.sink.is_full:
+                await self._wait_for_caller()
+            if len(events) == MAX_EVENTS_PER_TURN:
+                turn = sleep(self._context.clock, NO_DELAY)
+                await self._limit_to_deadline(turn, "the time for the stream is over")
+
     def _check_first_event(self, event):
         """Raise AnswerLost if what answers a resumption is no event of the stream."""
         if self._forwarding.sink.is_started and event.id is None:
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/streams.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/streams.py
@@ -34,7 +34,9 @@
     """
 
     def __init__(self):
-        self._buffer = b""
+        self._buffer = bytearray()
+        # Bytes at the beginning of the buffer in which no event ends.
+        self._searched = 0
 
     @property
     def has_partial_event(self):
@@ -47,9 +49,25 @@
         return len(self._buffer) > MAX_EVENT_BYTES
 
     def add(self, data):
-        """Add bytes; return a list of the StreamEvents that they complete."""
-        *events, self._buffer = (self._buffer + data).split(_EVENT_END)
-        return [_parse_event(event) for event in events]
+        """Add bytes."""
+        self._buffer += data
+
+    def take(self, max_count):
+        """Return a list of the next StreamEvents that are whole, up to a number."""
+        events = []
+        while len(events) < max_count and (event := self._take_next()) is not None:
+            events.append(event)
+        return events
+
+    def _take_next(self):
+        end = self._buffer.find(_EVENT_END, self._searched)
+        if end < 0:
+            self._searched = max(0, len(self._buffer) - len(_EVENT_END) + 1)
+            return None
+        block = bytes(self._buffer[:end])
+        del self._buffer[: end + len(_EVENT_END)]
+        self._searched = 0
+        return _parse_event(block)
 
 
 def _parse_event(block):
--- a/libs/gateway/tests/test_decisions.py
+++ b/libs/gateway/tests/test_decisions.py
@@ -124,12 +124,19 @@
     @examples(100)
     @given(st.lists(st.integers(0, 60)))
     def test_pieces_make_the_same_events(self, cuts):
+        self.check_events(cuts, 100)
+        self.check_events(cuts, 2)
+
+    def check_events(self, cuts, max_count):
         data = b"".join(b"id: %d\ndata: abc\n\n" % number for number in range(8))
         splitter = EventSplitter()
         events = []
         places = [0, *sorted(min(cut, len(data)) for cut in cuts), len(data)]
         for begin, end in itertools.pairwise(places):
-            events += splitter.add(data[begin:end])
+            splitter.add(data[begin:end])
+            while taken := splitter.take(max_count):
+                self.assertLessEqual(len(taken), max_count)
+                events += taken
         self.assertEqual([each.id for each in events], list(range(8)))
         self.assertEqual(b"".join(each.data for each in events), data)
         self.assertFalse(splitter.has_partial_event)
--- a/libs/gateway/tests/test_endless_answers.py
+++ b/libs/gateway/tests/test_endless_answers.py
@@ -2,6 +2,8 @@
 
 from balsamspoke_fakes import VirtualClock
 from balsamspoke_gateway.exceptions import OutcomeUnknown, TimedOut
+from balsamspoke_gateway.forwarding.attempt import MAX_EVENTS_PER_TURN
+from balsamspoke_gateway.forwarding.streams import EventSplitter
 
 from .scripted_replicas import Answer
 from .world import World, make_record, seconds
@@ -60,5 +62,38 @@
         self.assertFalse(sink.is_ended)
 
 
+class SmallEventTests(unittest.TestCase):
+    # Thousands of events of two bytes were handled before anything else could run.
+    def test_the_events_of_one_piece_are_forwarded_over_several_turns(self):
+        world = World()
+        world.add(make_record("e", "engines", 2))
+        world.tell_state(make_record("e", "engines", 2), {})
+        count = 5 * MAX_EVENTS_PER_TURN
+        world.client.script("e", Answer(pieces=[b"\n\n" * count]))
+        sink, _ = world.send("stream")
+        self.assertEqual(sink.body, b"\n\n" * MAX_EVENTS_PER_TURN)
+        world.pass_time(0)
+        self.assertEqual(sink.body, b"\n\n" * count)
+        self.assertTrue(sink.is_finished)
+
+    # The whole buffer was searched and copied for each byte of an event.
+    def test_the_bytes_of_an_event_are_searched_once(self):
+        splitter = EventSplitter()
+        splitter._buffer = SearchedBytes()
+        size = 5000
+        for _ in range(size):
+            splitter.add(b"x")
+            self.assertEqual(splitter.take(1), [])
+        self.assertLess(splitter._buffer.searched_bytes, 3 * size)
+
+
+class SearchedBytes(bytearray):
+    searched_bytes = 0
+
+    def find(self, wanted, start=0):
+        self.searched_bytes += len(self) - start
+        return super().find(wanted, start)
+
+
 if __name__ == "__main__":
     unittest.main()
