--- a/libs/transport/src/balsamspoke_transport/callers.py
+++ b/libs/transport/src/balsamspoke_transport/callers.py
@@ -10,7 +10,9 @@
 from twisted.internet.defer import Deferred
 from twisted.web import http
 
+from .clock import ReactorClock
 from .connections import enable_keepalive
+from .turns import TurnQueue
 
 # Hop-by-hop headers, and headers that are set here for each response.
 _NOT_FORWARDED_HEADERS = frozenset(
@@ -19,6 +21,11 @@
 # Unsent bytes of one connection beyond which its caller counts as slow. Well above one
 # event of a stream, and small enough for a thousand slow callers.
 MAX_UNSENT_BYTES = 8_192
+# Bytes of heads and chunked bodies that one connection may bring in one turn of the
+# event loop. A body with a length costs next to nothing, whatever its size.
+MAX_BYTES_PER_TURN = 2_048
+# Reading from a connection pauses while this much waits behind an open request.
+MAX_WAITING_BYTES = 16_384
 # Callers that are refused for lack of memory return after this time.
 BUFFERS_RETRY_AFTER = timedelta(seconds=1)
 # Sent only while a request is incomplete, so the request has not been handled.
@@ -187,6 +194,8 @@
     ----------
     channels : set of CallerChannel
         The open connections.
+    turns : TurnQueue
+        Goes on with what exceeds a connection's part of a turn.
     """
 
     noisy = False
@@ -210,6 +219,7 @@
         self.is_closing = is_closing
         self.budget = budget or BufferBudget()
         self._on_dropped = on_dropped
+        self.turns = TurnQueue(ReactorClock(reactor))
         self.channels = set()
 
     def buildProtocol(self, address):
@@ -265,6 +275,10 @@
         self._factory = factory
         self._is_reading_head = False
         self._room_waiter = None
+        self._unparsed = bytearray()
+        self._is_handling = False
+        # Whether the connection waits for its next turn.
+        self._is_behind = False
         self.is_full = False
         self.limits = None
 
@@ -279,6 +293,7 @@
 
     def connectionLost(self, reason):
         """Remove the connection from the factory."""
+        self._unparsed.clear()
         self._factory.channels.discard(self)
         self._factory.budget.release_body(self)
         self._factory.budget.release_unsent(self)
@@ -296,9 +311,25 @@
             self._factory.drop_excess()
 
     def requestDone(self, request):
-        """Release the memory of the request's body."""
+        """Release the memory of the request's body; the next request may follow.
+
+        One that has already arrived waits for the next turn of the event loop.
+        """
         self._factory.budget.release_body(self)
+        self._is_handling = False
         super().requestDone(request)
+        if not self.persistent:
+            self._unparsed.clear()
+        if self._unparsed:
+            self._wait_for_turn()
+
+    def allContentReceived(self):
+        """Handle a whole request, and keep what follows it until it is answered."""
+        following = b"".join(self._dataBuffer) + self.clearLineBuffer()
+        self._dataBuffer = []
+        self._unparsed[:0] = following
+        self._is_handling = True
+        super().allContentReceived()
 
     def wait_for_room(self):
         """Return a Deferred of None that fires once all written bytes were sent."""
@@ -322,7 +353,45 @@
             waiter.callback(None)
 
     def dataReceived(self, data):
-        """Parse requests; the first byte of each starts the header timeout."""
+        """Parse requests, a bounded number of bytes in each turn of the event loop."""
+        self._unparsed += data
+        if self._is_handling:
+            if len(self._unparsed) > MAX_WAITING_BYTES:
+                self._networkProducer.pauseProducing()
+        elif not self._is_behind and self._parse_turn():
+            self._wait_for_turn()
+
+    def _wait_for_turn(self):
+        if not self._is_behind:
+            self._is_behind = True
+            self._networkProducer.pauseProducing()
+            self._factory.turns.add(self._catch_up)
+
+    def _catch_up(self):
+        """Parse on in a later turn; return whether there is more to parse."""
+        self._is_behind = self._parse_turn()
+        if not self._is_behind and not self._waitingForTransport:
+            self._networkProducer.resumeProducing()
+        return self._is_behind
+
+    def _parse_turn(self):
+        """Parse what one turn may hold; return whether more can be parsed."""
+        self._parse(MAX_BYTES_PER_TURN)
+        self._parse(self._find_body_rest())
+        return bool(self._unparsed) and not self._is_handling
+
+    def _find_body_rest(self):
+        """Return the bytes that are left of a body with a length."""
+        return getattr(self._transferDecoder, "contentLength", None) or 0
+
+    def _parse(self, size):
+        """Parse some bytes; the first one of a request starts the header timeout."""
+        if self.transport.disconnecting:
+            self._unparsed.clear()
+        data = bytes(self._unparsed[:size])
+        if not data or self._is_handling:
+            return
+        del self._unparsed[:size]
         if not self.requests and not self._is_reading_head:
             self._apply_limits()
             self.setTimeout(self.limits.header_timeout.total_seconds())
--- a/libs/transport/tests/test_callers.py
+++ b/libs/transport/tests/test_callers.py
@@ -4,9 +4,15 @@
 
 from balsamspoke_gateway.configuration import CallerLimits
 from balsamspoke_transport import callers
-from balsamspoke_transport.callers import CallerFactory, find_reason_phrase
+from balsamspoke_transport.callers import (
+    MAX_BYTES_PER_TURN,
+    CallerFactory,
+    find_reason_phrase,
+)
+from twisted.internet.error import ConnectionLost
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
 
 LIMITS = CallerLimits(
     header_bytes=400,
@@ -45,6 +51,11 @@
 
     def send(self, data):
         self.channel.dataReceived(data)
+        self.pass_turns()
+
+    def pass_turns(self):
+        """Let the event loop go on with what exceeds a turn."""
+        self.clock.advance(0)
 
     def advance_time(self, seconds):
         for _ in range(round(seconds * 10)):
@@ -56,6 +67,43 @@
         self.send(REQUEST_HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks)
         self.assertEqual([len(each) for each in self.bodies], [11, 11])
 
+    # A caller's small chunks held up all else in the process.
+    def test_small_chunks_take_several_turns(self):
+        self.limits = CallerLimits()
+        chunks = b"1\r\na\r\n" * 1300
+        self.channel.dataReceived(REQUEST_HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+        self.channel.dataReceived(chunks + b"0\r\n\r\n")
+        received = self.channel.requests[0].content.tell()
+        self.assertLessEqual(received, MAX_BYTES_PER_TURN)
+        self.assertEqual(self.transport.producerState, "paused")
+        self.pass_turns()
+        self.assertEqual(self.bodies, [b"a" * 1300])
+        self.assertEqual(self.transport.producerState, "producing")
+
+    # Hundreds of requests that came together were answered before anything else ran.
+    def test_requests_that_come_together_are_answered_one_a_turn(self):
+        request = REQUEST_HEAD + b"Content-Length: 0\r\n\r\n"
+        self.channel.dataReceived(request * 300)
+        self.assertEqual(len(self.bodies), 1)
+        self.pass_turns()
+        self.assertEqual(len(self.bodies), 300)
+        self.assertEqual(self.transport.value().count(b" 200 "), 300)
+        self.assertEqual(self.transport.producerState, "producing")
+
+    def test_a_connection_that_is_lost_between_two_turns_answers_no_more(self):
+        request = REQUEST_HEAD + b"Content-Length: 0\r\n\r\n"
+        self.channel.dataReceived(request * 300)
+        self.channel.connectionLost(Failure(ConnectionLost()))
+        self.pass_turns()
+        self.assertEqual(len(self.bodies), 1)
+
+    def test_a_long_body_with_a_length_takes_one_turn(self):
+        self.limits = CallerLimits()
+        body = b"a" * 100 * MAX_BYTES_PER_TURN
+        head = REQUEST_HEAD + b"Content-Length: %d\r\n\r\n" % len(body)
+        self.channel.dataReceived(head + body)
+        self.assertEqual(self.bodies, [body])
+
     def test_accepts_a_body_of_the_maximum_length(self):
         self.send(REQUEST_HEAD + b"Content-Length: 10\r\n\r\n" + b"a" * 10)
         self.assertEqual(self.bodies, [b"a" * 10])
