--- a/libs/transport/src/balsamspoke_transport/calls.py
+++ b/libs/transport/src/balsamspoke_transport/calls.py
@@ -76,6 +76,9 @@
         size = 0
         while True:
             time_left = deadline - self._clock.monotonic()
+            if time_left <= timedelta(0):
+                # Pieces that come in each turn of the event loop cancel each timer.
+                raise ReplyBroken(f"the response exceeds {MAX_RESPONSE_TIME}")
             timeout = min(piece_timeout, time_left)
             piece = await self._limit(exchange.read_piece(), timeout)
             if not piece:
--- a/libs/transport/tests/test_calls.py
+++ b/libs/transport/tests/test_calls.py
@@ -43,14 +43,22 @@
         return self._exchange
 
 
+class BusyClock(VirtualClock):
+    """A clock whose timers run after the sockets of the turn in which they are due."""
+
+    def call_later(self, delay, function, *arguments):
+        late = delay + timedelta(milliseconds=10)
+        return super().call_later(late, function, *arguments)
+
+
 class EndlessResponseTests(unittest.TestCase):
-    def call(self, piece, interval):
+    def call(self, piece, interval, clock_type=VirtualClock):
         """Read an endless response for a while; return its exchange and the errors."""
         time = VirtualTime()
         clock = VirtualClock(time)
         exchange = SlowExchange(clock, piece, interval)
         client = BufferedHttpClient(
-            SlowPool(exchange), Endpoint("10.0.0.1", 80, ""), clock
+            SlowPool(exchange), Endpoint("10.0.0.1", 80, ""), clock_type(time)
         )
         calling = Deferred.fromCoroutine(client.call(b"GET", b"/", b"", SECOND, SECOND))
         errors = []
@@ -63,6 +71,13 @@
         self.assertIsInstance(errors[0], ReplyBroken)
         self.assertTrue(exchange.is_aborted)
 
+    # Each piece cancelled the timer of its time limit before it ran.
+    def test_a_response_that_never_pauses_ends(self):
+        interval = timedelta(milliseconds=5)
+        exchange, errors = self.call(b"x", interval, BusyClock)
+        self.assertIsInstance(errors[0], ReplyBroken)
+        self.assertTrue(exchange.is_aborted)
+
     def test_a_response_without_an_end_is_not_kept(self):
         piece = bytes(MAX_RESPONSE_BYTES // 4)
         exchange, errors = self.call(piece, timedelta(milliseconds=1))
