Let a stream's event id mean the same on its way out and on its way back

Cause: the Last-Event-Id that a caller sends was read up to 15 digits and else counted as absent, so that a resumption was sent on as a new request, without the check of the software version. Events' own ids were read up to 18 digits: beyond them a stream that broke went on after its last readable id, so that what followed it came twice. Why it works: one type holds an id as it was written, for replicas and callers, and its number, if it is one, for the order. A caller's id always goes on to the replica, also one that is no number.

--- a/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
@@ -322,7 +322,8 @@
 
     def _check_first_event(self, event):
         """Raise AnswerLost if what answers a resumption is no event of the stream."""
-        if self._forwarding.sink.is_started and event.id is None:
+        has_number = event.id is not None and event.id.number is not None
+        if self._forwarding.sink.is_started and not has_number:
             raise AnswerLost("the answer to a resumption begins with no event id")
 
     async def _register_version(self):
@@ -375,7 +376,9 @@
 
     @staticmethod
     def _is_new(event, last_event_id):
-        return event.id is None or last_event_id is None or event.id > last_event_id
+        if event.id is None or last_event_id is None:
+            return True
+        return event.id.is_after(last_event_id)
 
     def _report_resumption(self):
         last_event_id = self._forwarding.progress.last_event_id
@@ -386,7 +389,7 @@
             self._forwarding.resumed_id,
             self._record.id,
             self._record.software_version,
-            last_event_id,
+            last_event_id.text,
         )
         self._context.observer.observe(resumed)
 
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
@@ -264,7 +264,7 @@
 
     def _can_run_again(self):
         """Return whether the request may run once more."""
-        if self.sink.is_started and self.progress.last_event_id is None:
+        if self.sink.is_started and not self.progress.can_resume:
             return False
         return (
             self.route.is_idempotent
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/progress.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/progress.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from ..event_ids import EventId
+
 
 @dataclass
 class Progress:
@@ -16,7 +18,7 @@
         Attempts in which the request may have run.
     failed_attempts : int
         Attempts that were sent and then refused by the replica, lost or overdue.
-    last_event_id : int or None
+    last_event_id : EventId or None
         Id of the last stream event that the caller has.
     software_version : str or None
         Software version of the replica that began the stream, at which alone it may go
@@ -37,7 +39,7 @@
     excluded_replicas: set = field(default_factory=set)
     possible_runs: int = 0
     failed_attempts: int = 0
-    last_event_id: int | None = None
+    last_event_id: EventId | None = None
     software_version: str | None = None
     adapter_version: int | None = None
     first_event_at: timedelta | None = None
@@ -45,6 +47,15 @@
     adapter_timeouts: int = 0
     is_scheduled: bool = False
 
+    @property
+    def can_resume(self):
+        """Whether a stream that has begun can go on after its last event.
+
+        Only of ids that are numbers can be told whether an event is a later one.
+        """
+        last = self.last_event_id
+        return last is not None and last.number is not None
+
     def record_adapter_timeout(self, replica_id):
         """Record that a replica had not loaded the adapter in time."""
         self.adapter_timeouts = (
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/streams.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/streams.py
@@ -2,12 +2,12 @@
 
 from dataclasses import dataclass
 
+from ..event_ids import EventId, parse_event_id
+
 _EVENT_END = b"\n\n"
 _ID_FIELD = b"id:"
 # Longest event. One that doesn't end must not fill the memory.
 MAX_EVENT_BYTES = 1_048_576
-# Digits of an id; longer ones count as none.
-_MAX_ID_DIGITS = 18
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,12 +18,12 @@
     ----------
     data : bytes
         The event including the empty line that ends it.
-    id : int or None
-        The event's id field; None if it has none or it is not a number.
+    id : EventId or None
+        The event's id field; None if it has none.
     """
 
     data: bytes
-    id: int | None
+    id: EventId | None
 
 
 class EventSplitter:
@@ -74,7 +74,5 @@
     event_id = None
     for line in block.split(b"\n"):
         if line.startswith(_ID_FIELD):
-            value = line[len(_ID_FIELD) :].strip()
-            is_number = value.isdigit() and len(value) <= _MAX_ID_DIGITS
-            event_id = int(value) if is_number else None
+            event_id = parse_event_id(line[len(_ID_FIELD) :])
     return StreamEvent(block + _EVENT_END, event_id)
--- a/libs/gateway/src/balsamspoke_gateway/observing/requests.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing/requests.py
@@ -107,7 +107,7 @@
         Id of the replica at which the stream goes on.
     software_version : str
         Version of that replica's software.
-    last_event : int
+    last_event : str
         Id of the last event before the break.
     """
 
@@ -115,7 +115,7 @@
     resumed_request: str
     replica: str
     software_version: str
-    last_event: int
+    last_event: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/balsamspoke_gateway/requests.py
+++ b/libs/gateway/src/balsamspoke_gateway/requests.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from .event_ids import EventId
+
 
 @dataclass(frozen=True, slots=True)
 class AdapterName:
@@ -91,7 +93,7 @@
         Model and prompt of the request; None if it needs no model.
     token_cost : int or None
         Tokens to charge against the team's limit; None if the request does not say.
-    last_event_id : int or None
+    last_event_id : EventId or None
         Id of the last stream event that the caller has; the answer continues after it.
     resumed_id : str or None
         Id of the caller's earlier attempt that brought the first event of the stream
@@ -109,7 +111,7 @@
     caller_timeout: timedelta | None = None
     prompt: Prompt | None = None
     token_cost: int | None = None
-    last_event_id: int | None = None
+    last_event_id: EventId | None = None
     resumed_id: str | None = None
 
 
@@ -131,7 +133,7 @@
         Priority in the replica's queue; 0 comes first.
     adapter_version : int or None
         Adapter version to use; a replica with another version refuses the request.
-    last_event_id : int or None
+    last_event_id : EventId or None
         Id of the stream event after which the replica continues.
     is_idempotent : bool
         Whether the request may run more than once.
@@ -143,7 +145,7 @@
     team: str | None = None
     priority: int | None = None
     adapter_version: int | None = None
-    last_event_id: int | None = None
+    last_event_id: EventId | None = None
     is_idempotent: bool = False
 
 
--- a/libs/gateway/tests/engine_fleet.py
+++ b/libs/gateway/tests/engine_fleet.py
@@ -251,7 +251,8 @@
         if CRASHING_PART in list_parts(caller) or caller.body == CRASHING_BODY:
             self.fleet.call_later(CRASH_DELAY, self._crash_by, exchange)
         else:
-            next_event = 1 + (exchange.request.last_event_id or 0)
+            last_event_id = exchange.request.last_event_id
+            next_event = 1 + (0 if last_event_id is None else last_event_id.number)
             self.fleet.call_later(CRASH_DELAY, self._write_event, exchange, next_event)
 
     def _write_event(self, exchange, number):
--- a/libs/gateway/tests/test_decisions.py
+++ b/libs/gateway/tests/test_decisions.py
@@ -137,7 +137,7 @@
             while taken := splitter.take(max_count):
                 self.assertLessEqual(len(taken), max_count)
                 events += taken
-        self.assertEqual([each.id for each in events], list(range(8)))
+        self.assertEqual([each.id.number for each in events], list(range(8)))
         self.assertEqual(b"".join(each.data for each in events), data)
         self.assertFalse(splitter.has_partial_event)
 
--- a/libs/gateway/tests/test_streams.py
+++ b/libs/gateway/tests/test_streams.py
@@ -17,7 +17,7 @@
 from hypothesis import strategies as st
 
 from .scripted_replicas import EVENTS, Answer
-from .world import World, make_record, seconds
+from .world import World, make_event_id, make_record, seconds
 
 
 class StreamTests(unittest.TestCase):
@@ -52,11 +52,43 @@
         self.assertTrue(sink.is_finished)
         (first, _), (second, request) = self.world.client.sent
         self.assertNotEqual(first, second)
-        self.assertEqual(request.last_event_id, 2)
+        self.assertEqual(request.last_event_id, make_event_id(2))
         resumed = [
             e for e in self.world.observer.events if isinstance(e, StreamResumed)
         ]
-        self.assertEqual(resumed, [StreamResumed("id-1", "id-1", second, "", 2)])
+        self.assertEqual(resumed, [StreamResumed("id-1", "id-1", second, "", "2")])
+
+    # What came before a break came twice where ids had more digits than were read.
+    def test_a_broken_stream_goes_on_after_ids_of_any_number_of_digits(self):
+        for digits in (1, 15, 16, 18, 19, 21, 40):
+            with self.subTest(digits=digits):
+                self.setUp()
+                first = 10**digits - 3
+                events = [b"id: %d\ndata: x\n\n" % (first + n) for n in range(5)]
+                script = [Answer(pieces=events[:3], breaks=True), Answer(pieces=events)]
+                self.world.client.answers = {"a": script, "b": script}
+                sink, _ = self.world.send("resumable")
+                self.assertEqual(sink.body, b"".join(events))
+                self.assertTrue(sink.is_finished)
+                _, request = self.world.client.sent[1]
+                self.assertEqual(request.last_event_id.number, first + 2)
+
+    def test_a_stream_whose_last_id_is_no_number_is_not_resumed_here(self):
+        for last in (b"x", b"9" * 2000, b"1e3"):
+            with self.subTest(last=last[:20]):
+                self.setUp()
+                events = [b"id: 1\ndata: x\n\n", b"id: %s\ndata: y\n\n" % last]
+                self.script_both(Answer(pieces=events, breaks=True), Answer())
+                sink, _ = self.world.send("resumable")
+                self.assertEqual(len(self.world.client.sent), 1)
+                self.assertEqual(sink.body, b"".join(events))
+                self.assertTrue(sink.is_broken)
+
+    def test_events_whose_ids_are_no_numbers_are_all_forwarded(self):
+        events = [b"id: x\ndata: 1\n\n", b"id: x\ndata: 2\n\n", b"id: 3\ndata: 3\n\n"]
+        self.script_both(Answer(pieces=events))
+        sink, _ = self.world.send("resumable")
+        self.assertEqual(sink.body, b"".join(events))
 
     def resume_with(self, answer):
         """Break a stream after two events, and resume it with an Answer."""
--- a/libs/gateway/tests/world.py
+++ b/libs/gateway/tests/world.py
@@ -15,6 +15,7 @@
     WeightedService,
 )
 from balsamspoke_gateway.context import GatewayContext
+from balsamspoke_gateway.event_ids import parse_event_id
 from balsamspoke_gateway.fleet.fleet import Fleet
 from balsamspoke_gateway.fleet.replicas import HeldModel, ReplicaRecord
 from balsamspoke_gateway.forwarding.forwarding import Forwarding
@@ -38,6 +39,11 @@
 LONG_RUNNING = 60.0
 
 
+def make_event_id(number):
+    """Return the EventId of a number; None for None."""
+    return None if number is None else parse_event_id(b"%d" % number)
+
+
 def seconds(number):
     return timedelta(seconds=number)
 
@@ -202,6 +208,7 @@
         has_prompt=True,
         request_id="id-1",
         sink=None,
+        last_event_id=None,
         **others,
     ):
         """Start a request on a route; return its RecordedSink and its Deferred.
@@ -228,6 +235,8 @@
             Id of the request.
         sink : RecordedSink or None
             Takes the answer; None for a new one.
+        last_event_id : int or None
+            Id of the last event of the stream that the request resumes.
         **others
             Further fields of the CallerRequest.
         """
@@ -248,6 +257,7 @@
             key,
             seconds(caller_timeout),
             prompt,
+            last_event_id=make_event_id(last_event_id),
             **others,
         )
         sink = sink or RecordedSink()
