Refuse a request that can't be written, and don't count it in its replica's load for ever

What callers saw: a request with a vertical tab in a header, say, waited until its timeout at a new connection and got a 502 at an idle one; what failed before its first await stayed in the load of its replica for as long as the process ran, so that the replica got fewer requests (the review, by reading). Cause: the request was written outside of its exchange, and the load was raised before the part of an attempt that lowers it at its end. Evidence: the tests of the load and of the connection failed before. Why it works: the start is recorded before what may fail, and the end whatever fails; a request that can't be written gets a 400, which counts as no replica's failure.

--- a/libs/gateway/src/balsamspoke_gateway/exceptions.py
+++ b/libs/gateway/src/balsamspoke_gateway/exceptions.py
@@ -42,6 +42,10 @@
         super().__init__(f"the body is longer than {limit} bytes")
 
 
+class MalformedRequest(RequestRefused):
+    """The request has a header or a path that can't be forwarded."""
+
+
 class BuffersFull(RequestRefused):
     """The VM has no memory left for the request's body."""
 
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
@@ -118,8 +118,9 @@
         TimedOut
             If the request's deadline passes.
         """
-        self._begin()
+        self._record_start()
         try:
+            self._send()
             await self._exchange_with_replica()
             self._context.fleet.health.record_success(self._record.id)
         except (NotSent, AnswerLost, AnswerOverdue) as error:
@@ -140,7 +141,7 @@
         finally:
             self._end()
 
-    def _begin(self):
+    def _record_start(self):
         forwarding = self._forwarding
         request = forwarding.request
         self._load.in_flight += 1
@@ -157,9 +158,12 @@
         self._context.quarantine.add_attempt(self)
         self._sent_at = self._context.clock.monotonic()
         self._context.fleet.health.record_try(self._record.id, self._sent_at)
+
+    def _send(self):
+        forwarding = self._forwarding
         team = forwarding.team
         outgoing = ReplicaRequest(
-            request,
+            forwarding.request,
             self._record.id,
             forwarding.time_left(),
             None if team is None else team.name,
--- a/libs/gateway/tests/test_forwarding.py
+++ b/libs/gateway/tests/test_forwarding.py
@@ -1,8 +1,10 @@
 import unittest
+from unittest import mock
 
 from balsamspoke_gateway.exceptions import (
     AnswerLost,
     BodyTooLarge,
+    MalformedRequest,
     NoReplica,
     NotReady,
     NotSent,
@@ -75,6 +77,24 @@
         (first, _), (second, _) = self.world.client.sent
         self.assertNotEqual(first, second)
 
+    # A replica counted one request more for ever, and got fewer of those that came.
+    def test_a_request_that_cannot_be_written_does_not_stay_in_the_load(self):
+        self.world.client.send = mock.Mock(side_effect=ValueError("no header value"))
+        sink, _ = self.world.send("unsafe")
+        self.assertIsInstance(sink.failure, OutcomeUnknown)
+        fleet = self.world.context.fleet
+        self.assertEqual([fleet.find_load(name).in_flight for name in "ab"], [0, 0])
+
+    # An odd header of one caller would count as a failure of each replica.
+    def test_a_request_that_is_malformed_is_refused_and_no_replicas_failure(self):
+        self.script_both(Answer(error=MalformedRequest("no header value")))
+        health = self.world.context.fleet.health
+        with mock.patch.object(health, "record_failure") as record_failure:
+            sink, _ = self.world.send("safe")
+        self.assertIsInstance(sink.refusal, MalformedRequest)
+        self.assertEqual(len(self.world.client.sent), 1)
+        record_failure.assert_not_called()
+
     def test_does_not_retry_a_lost_unsafe_request(self):
         self.script_both(Answer(error=AnswerLost("reset")))
         sink, _ = self.world.send("unsafe")
--- a/libs/transport/src/balsamspoke_transport/connections.py
+++ b/libs/transport/src/balsamspoke_transport/connections.py
@@ -9,7 +9,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 
-from .exceptions import ReplyBroken
+from .exceptions import ReplyBroken, RequestMalformed
 from .http_requests import HttpHead
 
 # The kernel closes a connection whose sent data stays unacknowledged this long: the
@@ -223,7 +223,13 @@
         """Send the request of an HttpExchange."""
         self._exchange = exchange
         exchange.set_connection(self)
-        self.transport.writeSequence(self._start_parser())
+        try:
+            encoded = self._start_parser()
+        except h11.LocalProtocolError as error:
+            self.abort_connection()
+            exchange.handle_failure(RequestMalformed(str(error)))
+            return
+        self.transport.writeSequence(encoded)
 
     def abort_connection(self):
         """Close the connection at once, without notifying an open exchange."""
--- a/libs/transport/src/balsamspoke_transport/exceptions.py
+++ b/libs/transport/src/balsamspoke_transport/exceptions.py
@@ -5,5 +5,9 @@
     """No connection could be made; nothing was sent."""
 
 
+class RequestMalformed(Exception):
+    """The request can't be written as HTTP; nothing was sent."""
+
+
 class ReplyBroken(Exception):
     """No complete, valid response was received; the request may have run."""
--- a/libs/transport/tests/test_connections.py
+++ b/libs/transport/tests/test_connections.py
@@ -9,7 +9,7 @@
     HttpConnection,
     HttpExchange,
 )
-from balsamspoke_transport.exceptions import ReplyBroken
+from balsamspoke_transport.exceptions import ReplyBroken, RequestMalformed
 from balsamspoke_transport.http_requests import HttpRequest
 from balsamspoke_transport.turns import MAX_CONNECTIONS_PER_TURN, TurnQueue
 from hypothesis import given
@@ -92,6 +92,14 @@
         self.assertIn(b"Content-Length: 3\r\n", sent)
         self.assertTrue(sent.endswith(b"\r\n\r\nabc"))
 
+    # It failed outside of its exchange, and its caller waited until the timeout.
+    def test_a_request_that_cannot_be_written_fails_at_once(self):
+        headers = (*HEADERS, (b"X-Odd", b"a\x0bb"))
+        exchange = HttpExchange(HttpRequest(b"GET", b"/x", headers), b"request-id")
+        self.connection.start_exchange(exchange)
+        self.assertIsInstance(self.read_head_result(exchange).value, RequestMalformed)
+        self.assertTrue(self.transport.is_aborted)
+
     def test_reads_a_whole_response_and_is_idle_again(self):
         exchange = self.send_request()
         self.connection.dataReceived(make_response(b"r1"))
