Guard against taking a head that is cut off for an answer

It could not be brought about here: heads with a length, chunks, a stream or no framing, cut at each byte, ended cleanly or reset, at once or after a pause, on a new and on a kept connection, are all broken answers (some 1,500 cuts; the test passed on the code as it was).

--- a/libs/transport/tests/test_connections.py
+++ b/libs/transport/tests/test_connections.py
@@ -247,6 +247,34 @@
         exchange.abort()
         self.assertTrue(self.transport.is_aborted)
 
+    # Elsewhere a head that was cut off came to callers as a whole answer.
+    def test_a_head_that_is_cut_off_is_no_answer(self):
+        framings = (
+            b"Content-Length: 0\r\n",
+            b"Content-Length: 5\r\n",
+            b"Transfer-Encoding: chunked\r\n",
+            b"Content-Type: text/event-stream\r\n",
+            b"",
+        )
+        reasons = (ConnectionDone(), ConnectionLost())
+        for framing, reason, is_kept, has_pause in itertools.product(
+            framings, reasons, (True, False), (True, False)
+        ):
+            head = b"HTTP/1.1 200 OK\r\nRequest-Id: r2\r\nX: s\r\n%s\r\n" % framing
+            for size in range(len(head)):
+                self.setUp()
+                if is_kept:
+                    self.send_request(b"r1")
+                    self.connection.dataReceived(make_response(b"r1"))
+                exchange = self.send_request(b"r2")
+                middle = size // 2 if has_pause else 0
+                for piece in filter(None, (head[:middle], head[middle:size])):
+                    self.connection.dataReceived(piece)
+                self.connection.connectionLost(Failure(reason))
+                result = self.read_head_result(exchange)
+                self.assertIsInstance(result, Failure, head[:size])
+                result.trap(ReplyBroken)
+
     def receive_small_chunks(self, count):
         head = (
             b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
