Answer the requests that are still open at the end of a stop

And what was still open at the end was left to the end of the process. Why it works: half a second before the kill each open request gets the answer that is true of it: 503 if it was not sent to a replica, else 502; a stream that has begun is cut as before.

--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -45,7 +45,7 @@
         self._quarantine_store = quarantine_store
         self._version_store = version_store
         self._started = started
-        self._running = set()
+        self._running = {}
 
     @property
     def is_ready(self):
@@ -164,10 +164,16 @@
         """Start to process a CallerRequest; return a Deferred that cancels it."""
         forwarding = Forwarding(self.context, request, sink)
         running = Deferred.fromCoroutine(forwarding.run())
-        self._running.add(running)
+        self._running[running] = forwarding
         running.addBoth(self._remove_running, running)
         return running
 
+    def end_requests(self):
+        """Answer all open requests at once, as the process ends."""
+        for running, forwarding in list(self._running.items()):
+            forwarding.end()
+            running.cancel()
+
     def receive_message(self, ip, message):
         """Process a message from the side process or entry process at an IP address."""
         context = self.context
@@ -218,7 +224,7 @@
         context.drained_domains.receive(usage.drained_domains, era)
 
     def _remove_running(self, result, running):
-        self._running.discard(running)
+        self._running.pop(running, None)
         return result
 
     def _run(self, coroutine):
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
@@ -81,6 +81,11 @@
         self.popularity = 0.0
         self._charged_tokens = 0
         self._last_error = None
+        self._is_ending = False
+
+    def end(self):
+        """Let the next cancellation be that of the process, not of the caller."""
+        self._is_ending = True
 
     async def run(self):
         """Answer the request; all errors are turned into answers."""
@@ -97,7 +102,10 @@
             self._finish_with_error(error, self.sink.fail)
         except CancelledError:
             self._refund()
-            self._report_end("CallerLeft")
+            if self._is_ending:
+                self._finish_at_stop()
+            else:
+                self._report_end("CallerLeft")
         except Exception:
             # A bug must not leave the caller without an answer.
             self.context.report_bug(Failure())
@@ -106,6 +114,13 @@
             if self.progress.software_version is not None:
                 self.context.stream_versions.record_end(self._stream_keys)
 
+    def _finish_at_stop(self):
+        reason = "the process ends"
+        if self.progress.possible_runs:
+            self._finish_with_error(OutcomeUnknown(reason), self.sink.fail)
+        else:
+            self._finish_with_error(NotReady(reason, NO_DELAY), self.sink.refuse)
+
     def time_left(self):
         """Return the timedelta until the request's deadline."""
         return self.deadline - self.context.clock.monotonic()
--- a/libs/gateway/tests/entry_world.py
+++ b/libs/gateway/tests/entry_world.py
@@ -316,6 +316,10 @@
             started,
         )
 
+    def forward(self, request, sink):
+        """Let the core handle a CallerRequest; return a Deferred that cancels it."""
+        return self.core.handle(request, sink)
+
     def configure(self, version):
         """Write a version of the configuration to the store."""
         configuration = dataclasses.replace(CONFIGURATION, version=version)
--- a/libs/gateway/tests/test_entry.py
+++ b/libs/gateway/tests/test_entry.py
@@ -3,7 +3,7 @@
 from unittest import mock
 
 from balsamspoke_fakes.properties import examples
-from balsamspoke_gateway.exceptions import NotReady
+from balsamspoke_gateway.exceptions import NotReady, OutcomeUnknown
 from balsamspoke_gateway.fleet.replicas import RECOVERY_GRACE
 from balsamspoke_gateway.messages import EntryUsage
 from balsamspoke_gateway.observing import ProgramFailed
@@ -11,11 +11,12 @@
 from balsamspoke_gateway.requests import AdapterName
 from balsamspoke_gateway.store.following import RecordChange, RecordPage, StorePosition
 from balsamspoke_gateway.store.records import AnnouncedVersion
-from balsamspoke_gateway.store.startup import MAX_STARTUP_WAIT
+from balsamspoke_gateway.store.startup import MAX_STARTUP_WAIT, StartupGate
 from hypothesis import given
 from hypothesis import strategies as st
 
 from .entry_world import EntryWorld
+from .scripted_replicas import Answer
 from .world import make_record
 
 TICK = timedelta(seconds=0.2)
@@ -105,6 +106,23 @@
         self.world.pass_time(1)
         self.assertEqual(self.world.client.sent, [])
 
+    # Requests that were still open at the end of a stop were cut with no answer.
+    def test_answers_open_requests_truly_when_the_process_ends(self):
+        waiting, _ = self.world.send("safe")
+        self.world.configure(1)
+        self.add("a")
+        self.start()
+        self.world.client.script("a", *[Answer(is_silent=True)] * 2)
+        booking, _ = self.world.send("unsafe")
+        self.core.context.startup = StartupGate(self.world.clock)
+        early, _ = self.world.send("safe")
+        self.assertEqual(self.core.open_requests, 2)
+        self.core.end_requests()
+        self.assertEqual(self.core.open_requests, 0)
+        self.assertEqual(waiting.status, 200)
+        self.assertIsInstance(booking.failure, OutcomeUnknown)
+        self.assertIsInstance(early.refusal, NotReady)
+
     def test_keeps_serving_while_the_store_is_unavailable(self):
         self.world.configure(1)
         self.add("a")
--- a/libs/gateway/tests/world.py
+++ b/libs/gateway/tests/world.py
@@ -261,8 +261,11 @@
             **others,
         )
         sink = sink or RecordedSink()
-        running = Deferred.fromCoroutine(Forwarding(self.context, request, sink).run())
-        return sink, running
+        return sink, self.forward(request, sink)
+
+    def forward(self, request, sink):
+        """Start to forward a CallerRequest; return a Deferred that cancels it."""
+        return Deferred.fromCoroutine(Forwarding(self.context, request, sink).run())
 
     def exchange(self, replica, answer):
         """Send plain requests of which one gets the given Answer from a replica."""
--- a/libs/transport/src/balsamspoke_transport/process.py
+++ b/libs/transport/src/balsamspoke_transport/process.py
@@ -14,6 +14,8 @@
 POLL_INTERVAL = timedelta(milliseconds=100)
 # Time between the end of the drain and the kill of the process.
 KILL_MARGIN = timedelta(milliseconds=500)
+# Part of the margin for the answers to requests that are ended by the stop.
+FLUSH_TIME = timedelta(milliseconds=150)
 
 
 class StopHandler:
@@ -68,6 +70,8 @@
 async def drain(clock, process):
     """Finish the open requests, then close the idle connections.
 
+    Requests that are still open at the end of the time get an answer that is true.
+
     Callers continue to send requests on their open connections. Once the load balancer
     has had the time to remove this process, new requests are refused without running,
     so that the open ones finish before the process is killed.
@@ -94,4 +98,8 @@
                 if process.open_connections == 0:
                     break
         await sleep(clock, POLL_INTERVAL)
-    logger.bind(event="Stopped", open_requests=process.open_requests).info("")
+    open_requests = process.open_requests
+    if open_requests:
+        process.end_requests()
+        await sleep(clock, FLUSH_TIME)
+    logger.bind(event="Stopped", open_requests=open_requests).info("")
--- a/libs/transport/tests/test_process.py
+++ b/libs/transport/tests/test_process.py
@@ -3,7 +3,7 @@
 from unittest import mock
 
 from balsamspoke_fakes import VirtualClock, VirtualTime
-from balsamspoke_transport.process import StopHandler, drain
+from balsamspoke_transport.process import FLUSH_TIME, StopHandler, drain
 from twisted.internet.defer import Deferred
 
 
@@ -46,6 +46,10 @@
     def begin_refusal(self):
         self.is_refusing = True
 
+    def end_requests(self):
+        self.ended_at = self._clock.monotonic()
+        self.ended_requests, self.open_requests = self.open_requests, 0
+
     def stop_listening(self):
         self.is_listening = False
 
@@ -116,6 +120,14 @@
         _, ended = self.drain(seconds(60))
         self.assertLess(ended, seconds(8))
 
+    # Requests that were still open at the end of a stop were cut with no answer.
+    def test_ends_open_requests_with_an_answer_in_time_to_send_it(self):
+        process, ended = self.drain(seconds(60))
+        self.assertGreater(process.ended_requests, 0)
+        answered_at = process.ended_at - seconds(1)
+        self.assertGreaterEqual(answered_at, seconds(7.5))
+        self.assertGreaterEqual(ended - answered_at, FLUSH_TIME)
+
     def test_accepts_requests_until_the_balancer_has_removed_the_process(self):
         time = VirtualTime()
         clock = VirtualClock(time)
--- a/libs/transport/tests/test_reactor.py
+++ b/libs/transport/tests/test_reactor.py
@@ -69,6 +69,9 @@
     def begin_refusal(self):
         pass
 
+    def end_requests(self):
+        pass
+
     def stop_listening(self):
         self.port.stopListening()
 
