Don't resume a stream by what was followed if neither store nor peers answer

Cause: where the register of versions couldn't be read, the followed list of replicas counted as certain up to three seconds after the store's last answer. Streams may begin at a version that came within them. Also, a register that isn't complete yet was not looked at, though it may name other versions, and a version that came and went between two reads was never known. A process that stood still reads the register after it goes on, so it refused such streams before as well; a test keeps it so. Why it works: what was followed counts without the store only if all holders of the stream's origin say that they know nothing of it; a register names versions also while it isn't complete; each version of a page of changes is recorded. Streams of a single version go on as before while the store is silent and peers answer (a test).

--- a/libs/gateway/src/balsamspoke_gateway/store/view.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/view.py
@@ -199,6 +199,7 @@
                 directory.remove(change.name, now)
             else:
                 directory.put(change.record)
+                self._context.stream_versions.record_replica(change.record)
         return False
 
     def _record_cold_replicas(self, page, is_full_list, is_restored):
--- a/libs/gateway/src/balsamspoke_gateway/stream_versions/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/stream_versions/coordinator.py
@@ -94,6 +94,11 @@
         if self._registration is not None:
             self._registration.handle_restored_store()
 
+    def record_replica(self, record):
+        """Record the version of a ReplicaRecord, though it may have gone since."""
+        version = (record.service, record.software_version)
+        self._history.record([version], self._clock.monotonic())
+
     def refresh(self):
         """Record the versions that the directory lists, and forget what is too old.
 
@@ -169,11 +174,12 @@
         origin = self._holder.find(keys)
         if origin is not None:
             return origin
-        reading = Deferred.fromCoroutine(self._read_only_version(service))
-        origin = await self._inquiry.ask(keys, self._selection.choose_asked(keys))
-        if origin is not None:
-            return origin
-        version = await reading
+        reading = Deferred.fromCoroutine(self._read_register(service))
+        told = await self._inquiry.ask(keys, self._selection.choose_asked(keys))
+        if told.origin is not None:
+            return told.origin
+        has_read = await reading
+        version = self._find_only_version(service, has_read, told.is_complete)
         return None if version is None else StreamOrigin(service, version)
 
     def describe_versions(self, service):
@@ -191,15 +197,34 @@
             return True
         return self._holder.receive(ip, message)
 
-    async def _read_only_version(self, service):
-        """Return the one version that the service has had; None if not certain."""
+    async def _read_register(self, service):
+        """Return whether what is known of the register is as of now."""
         if self._registration is None:
-            return self._find_followed_version(service)
+            return False
         registered = self._register.find_versions(service)
-        if registered is None or len(registered) == 1:
-            # Several stay so for long; another one may have come since the last read.
-            registered = await self._registration.read_versions(service)
-        return self._choose_only(service, registered)
+        if registered is not None and len(registered) > 1:
+            # They stay so for long.
+            return True
+        return await self._registration.read_now()
+
+    def _find_only_version(self, service, has_read, is_told):
+        """Return the one version that the service has had; None if not certain.
+
+        Without the store and the peers, streams may have begun at a version that has
+        come since they were last heard, however lately that was.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        has_read : bool
+            Whether what is known of the register is as of now.
+        is_told : bool
+            Whether all holders say that they don't know the stream.
+        """
+        if has_read:
+            return self._choose_only(service, self._register.find_versions(service))
+        return self._find_followed_version(service) if is_told else None
 
     def _choose_only(self, service, registered):
         """Return the one version of a service; None if not certain.
@@ -239,13 +264,15 @@
     def _find_followed_version(self, service):
         """Return the one version that was listed for long enough; None if not certain.
 
-        It serves where the register can't be read, or is not complete yet.
+        It serves where the register can't be read, or is not complete yet. One that is
+        not complete tells all the same of versions that were not seen here.
         """
         silence = None if self._reachability is None else self._reachability.silence
         if silence is None or silence > MAX_STORE_SILENCE:
             return None
         since = self._clock.monotonic() - self.lifetime
-        return self._history.find_only_version(service, since)
+        version = self._history.find_only_version(service, since)
+        return version if self._register.list_known(service) <= {version} else None
 
     def _announce_delayed(self):
         """Announce the running streams of services that have several versions now."""
--- a/libs/gateway/src/balsamspoke_gateway/stream_versions/inquiry.py
+++ b/libs/gateway/src/balsamspoke_gateway/stream_versions/inquiry.py
@@ -1,5 +1,6 @@
 """Questions to the holders of a stream's origin."""
 
+from dataclasses import dataclass
 from datetime import timedelta
 
 from balsamspoke_types.timing import add_timeout
@@ -13,6 +14,22 @@
 REPLY_TIMEOUT = timedelta(milliseconds=100)
 
 
+@dataclass(frozen=True, slots=True)
+class InquiryResult:
+    """What holders have told of a stream.
+
+    Attributes
+    ----------
+    origin : StreamOrigin or None
+        Where it has started; None if none of them knows.
+    is_complete : bool
+        Whether each of them has answered, unless one knew.
+    """
+
+    origin: StreamOrigin | None
+    is_complete: bool
+
+
 class _Question:
     __slots__ = ("unanswered", "waiter")
 
@@ -42,7 +59,7 @@
         return len(self._questions)
 
     async def ask(self, keys, holders):
-        """Return the StreamOrigin that the first holder tells; None if none knows it.
+        """Return an InquiryResult with the StreamOrigin that the first holder tells.
 
         Parameters
         ----------
@@ -52,7 +69,7 @@
             IP addresses of the processes to ask.
         """
         if not holders:
-            return None
+            return InquiryResult(None, is_complete=False)
         self._last_number += 1
         number = self._last_number
         waiter = Deferred()
@@ -65,7 +82,7 @@
                 waiter, self._clock, REPLY_TIMEOUT, AnswerOverdue()
             )
         except AnswerOverdue:
-            return None
+            return InquiryResult(None, is_complete=False)
         finally:
             self._questions.pop(number, None)
 
@@ -80,4 +97,4 @@
             return
         del self._questions[reply.number]
         origin = StreamOrigin(reply.service, reply.version) if is_known else None
-        question.waiter.callback(origin)
+        question.waiter.callback(InquiryResult(origin, is_complete=True))
--- a/libs/gateway/src/balsamspoke_gateway/stream_versions/register_cache.py
+++ b/libs/gateway/src/balsamspoke_gateway/stream_versions/register_cache.py
@@ -55,6 +55,12 @@
             return None
         return self._register.list_versions(service)
 
+    def list_known(self, service):
+        """Return the set of versions that were read last; some may be missing."""
+        return (
+            set() if self._register is None else self._register.list_versions(service)
+        )
+
     def is_registered(self, service, version):
         """Return whether streams may begin at a version, as far as is known here."""
         return (
--- a/libs/gateway/src/balsamspoke_gateway/stream_versions/registration.py
+++ b/libs/gateway/src/balsamspoke_gateway/stream_versions/registration.py
@@ -92,8 +92,11 @@
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
 
-    async def read_versions(self, service):
-        """Return the versions as of now, like ``RegisterCache.find_versions``."""
+    async def read_now(self):
+        """Read the register into the cache; return whether the store answered in time.
+
+        The read begins after this call.
+        """
         waiter = Deferred()
         self._readers.append(waiter)
         if not self._is_reading:
@@ -104,12 +107,11 @@
                 waiter, self._clock, MAX_READ_TIME, AnswerOverdue()
             )
         except AnswerOverdue:
-            return None
+            return False
         finally:
             if waiter in self._readers:
                 self._readers.remove(waiter)
-        # What was read before may be out of date.
-        return None if stored is None else self._cache.find_versions(service)
+        return stored is not None
 
     async def _serve_readers(self):
         """Read for all who wait; each read begins after they have asked.
--- a/libs/gateway/tests/test_stream_versions.py
+++ b/libs/gateway/tests/test_stream_versions.py
@@ -11,6 +11,7 @@
 )
 from balsamspoke_gateway.messages import EntryDemand
 from balsamspoke_gateway.side import SideCore
+from balsamspoke_gateway.store.following import RecordChange, RecordPage, StorePosition
 from balsamspoke_gateway.stream_versions import (
     StreamKeys,
     StreamOrigin,
@@ -351,6 +352,65 @@
         sink = self.resume_unnamed(world)
         self.assertIsInstance(sink.refusal, StreamNotResumable)
 
+    # A process that was cut off let a stream of a version that it hadn't heard of go
+    # on at the only one that it knew.
+    def test_not_by_what_was_followed_while_neither_store_nor_peers_answer(self):
+        self.world.store.go_away()
+        self.world.pass_time(1)
+        self.assertIsInstance(self.resume().refusal, StreamNotResumable)
+
+    def test_but_while_the_store_is_silent_if_all_holders_know_nothing(self):
+        self.world.store.go_away()
+        self.world.pass_time(1)
+        self.world.client.script("v1", Answer(pieces=EVENTS[2:]))
+        sink, _ = self.world.send("resumable", last_event_id=2, resumed_id="first")
+        queries = [
+            (ip, each)
+            for ip, each in self.world.peers.sent
+            if isinstance(each, StreamOriginQuery)
+        ]
+        for ip, query in queries:
+            reply = StreamOriginReply(query.number)
+            self.world.context.stream_versions.receive(ip, reply)
+        self.world.pass_time(0.2)
+        self.assertEqual(sink.status, 200)
+
+    def test_not_after_it_stood_still_while_another_version_came(self):
+        world = self.start(is_first_start=True)
+        world.send("resumable")
+        self.live(seconds(2))
+        world.clock.pause()
+        register, revision = world.store.records["stream versions"]["all"]
+        changed = (register.add("engines", "v2"), revision + 1)
+        world.store.write("stream versions", "all", changed)
+        self.write("v2", 2)
+        world.pass_time(4)
+        world.clock.resume()
+        sink = self.resume_unnamed(world)
+        self.assertIsInstance(sink.refusal, StreamNotResumable)
+
+    # A version that came and went between two reads was never known.
+    def test_not_if_another_version_came_and_went_between_two_reads(self):
+        record = self.write("v1", 1)
+        gone = replace(record, id="v2", software_version="v2")
+        changes = (RecordChange("v2", gone), RecordChange("v2", None))
+        page = RecordPage(changes, StorePosition(0, 10**6))
+        self.world.core._store_view._apply_replicas(page, False)
+        self.world.store.records["stream versions"].clear()
+        self.assertIsInstance(self.resume().refusal, StreamNotResumable)
+
+    # The register told of another version, but not yet of all that there are.
+    def test_not_by_what_was_followed_if_the_register_tells_of_another_version(self):
+        world = self.start()
+        world.send("resumable")
+        self.live(seconds(35))
+        register, revision = world.store.records["stream versions"]["all"]
+        self.assertFalse(register.is_complete)
+        changed = (register.add("engines", "v2"), revision + 1)
+        world.store.write("stream versions", "all", changed)
+        sink = self.resume_unnamed(world)
+        self.assertIsInstance(sink.refusal, StreamNotResumable)
+
     def test_also_soon_after_a_short_failure_of_the_store(self):
         self.world.store.go_away()
         self.world.pass_time(1)
