Don't take a watch that the store cuts off for an outage

Cause: any failed call counted as the loss of the store since its last answer, and the next answer as its recovery, after which removals are held for 2.2 s, as entries may have expired meanwhile. Why it works: a store that closes a connection in good order was there until then; and no entry expires within a second, as replicas write theirs once a second and have three times that.

--- a/libs/gateway/src/balsamspoke_gateway/store/reachability.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/reachability.py
@@ -1,5 +1,7 @@
 """Reachability of the dependencies of a process."""
 
+from balsamspoke_types.exceptions import StoreCutOff
+
 from ..observing import DependencyLost, DependencyRegained
 
 STORE = "store"
@@ -23,8 +25,8 @@
     Attributes
     ----------
     last_outage : float or None
-        Seconds without an answer before it last recovered; None if it never did, or if
-        it had never answered before.
+        Seconds for which it may have been away before it last recovered; None if it
+        never did, or if it had never answered before.
     """
 
     def __init__(self, name, clock, observer, on_recovery=None):
@@ -34,6 +36,7 @@
         self._on_recovery = on_recovery
         self._is_reachable = True
         self._last_answer = None
+        self._lost_at = None
         self.last_outage = None
 
     @property
@@ -45,18 +48,23 @@
 
     def record_answer(self):
         """Record that the dependency has answered."""
-        silence = self.silence
-        self._last_answer = self._clock.monotonic()
+        now = self._last_answer = self._clock.monotonic()
         if self._is_reachable:
             return
         self._is_reachable = True
-        self.last_outage = silence
+        lost_at, self._lost_at = self._lost_at, None
+        self.last_outage = None if lost_at is None else (now - lost_at).total_seconds()
         if self._on_recovery is not None:
             self._on_recovery()
         self._observer.observe(DependencyRegained(self._name))
 
     def record_failure(self, error):
-        """Record that a call has failed with an exception."""
+        """Record that a call has failed with an exception.
+
+        A dependency that closes a connection in good order was there until then.
+        """
         if self._is_reachable:
             self._is_reachable = False
+            is_cut_off = isinstance(error, StoreCutOff)
+            self._lost_at = self._clock.monotonic() if is_cut_off else self._last_answer
             self._observer.observe(DependencyLost(self._name, str(error)))
--- a/libs/gateway/src/balsamspoke_gateway/store/view.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/view.py
@@ -30,6 +30,10 @@
 # Shortest time between two reads of the list of entry processes.
 ENTRY_POLL_INTERVAL = timedelta(seconds=2)
 
+# Seconds without the store in which no entry expires: replicas write theirs about once
+# a second, and they expire after three times that.
+MAX_HARMLESS_OUTAGE = 1.0
+
 # Time within which the processes read a restored store again, so that they don't all do
 # so at the same moment.
 RESTORE_READ_SPREAD = timedelta(milliseconds=300)
@@ -156,9 +160,10 @@
         return True
 
     def _record_store_recovery(self):
-        self._context.fleet.directory.record_store_recovery(
-            self._context.clock.monotonic()
-        )
+        outage = self.reachability.last_outage
+        if outage is None or outage > MAX_HARMLESS_OUTAGE:
+            now = self._context.clock.monotonic()
+            self._context.fleet.directory.record_store_recovery(now)
         self._context.stream_versions.record_recovery()
 
     def _apply_configurations(self, page, is_full_list):
--- a/libs/gateway/tests/entry_world.py
+++ b/libs/gateway/tests/entry_world.py
@@ -14,7 +14,7 @@
     StoredRegister,
     VersionRegisterStore,
 )
-from balsamspoke_types.exceptions import StoreUnavailable, WatchExpired
+from balsamspoke_types.exceptions import StoreCutOff, StoreUnavailable, WatchExpired
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.python.failure import Failure
 
@@ -52,6 +52,7 @@
         self.records["quarantine"] = {}
         self.records["drain requests"] = {}
         self.records["stream versions"] = {}
+        self.is_cutting = False
         self.is_unavailable = False
         self.refuses_registers = False
         self.revision = 0
@@ -107,6 +108,12 @@
         self.is_unavailable = True
         self.resume_polls()
 
+    def cut_polls(self):
+        """Close the connections of the pending polls, and go on."""
+        self.is_cutting = True
+        self.resume_polls()
+        self.is_cutting = False
+
     def return_(self):
         """Become available again."""
         self.is_unavailable = False
@@ -150,6 +157,8 @@
             return
         if position.era != store.era and not store.is_unavailable:
             waiter.errback(WatchExpired("the store was restored"))
+        elif store.is_cutting:
+            waiter.errback(StoreCutOff("connection lost"))
         elif store.is_unavailable:
             waiter.errback(StoreUnavailable("the store is unavailable"))
         elif not store.history and store.revision > revision:
--- a/libs/gateway/tests/test_entry.py
+++ b/libs/gateway/tests/test_entry.py
@@ -205,6 +205,20 @@
         self.world.pass_time(1.5)
         self.assertEqual(self.world.list_replica_ids(), ["a"])
 
+    # Watches that the store cut off counted as an outage, and delayed each removal.
+    def test_applies_a_removal_at_once_after_its_watches_were_cut_off(self):
+        self.world.configure(1)
+        self.add("a", "b")
+        self.start()
+        self.world.pass_time(2)
+        self.store.cut_polls()
+        self.world.pass_time(0.2)
+        self.store.write("replicas", "b", None)
+        self.world.pass_time(1.3)
+        self.store.cut_polls()
+        self.world.pass_time(0.4)
+        self.assertEqual(self.world.list_replica_ids(), ["a"])
+
     def test_lists_all_records_again_after_the_history_was_dropped(self):
         self.world.configure(1)
         self.add("a", "b")
--- a/libs/transport/src/balsamspoke_transport/connections.py
+++ b/libs/transport/src/balsamspoke_transport/connections.py
@@ -9,7 +9,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 
-from .exceptions import ReplyBroken, RequestMalformed
+from .exceptions import ReplyBroken, ReplyCutOff, RequestMalformed
 from .http_requests import HttpHead
 
 # The kernel closes a connection whose sent data stays unacknowledged this long: the
@@ -191,6 +191,7 @@
         # Whether bytes that were received are still to be parsed.
         self._is_behind = False
         self._body_pieces = []
+        self._failure_type = ReplyBroken
         self._keep_alive_timeout = DEFAULT_KEEP_ALIVE_TIMEOUT
         self._idle_since = None
         self.is_closed = False
@@ -255,11 +256,14 @@
     def connectionLost(self, reason):
         """End the open exchange; a clean close may complete its response."""
         self.is_closed = True
-        if self._exchange is not None and reason.check(ConnectionDone):
-            self._parse(b"")
+        if reason.check(ConnectionDone):
+            self._failure_type = ReplyCutOff
+            if self._exchange is not None:
+                self._parse(b"")
         if self._exchange is not None:
             exchange, self._exchange = self._exchange, None
-            exchange.handle_failure(ReplyBroken(f"connection lost: {reason.value}"))
+            error = self._failure_type(f"connection lost: {reason.value}")
+            exchange.handle_failure(error)
         self._on_closed(self)
 
     def _start_parser(self):
@@ -337,7 +341,7 @@
         self.is_closed = True
         self.transport.abortConnection()
         if exchange is not None:
-            exchange.handle_failure(ReplyBroken(f"no HTTP answer: {error}"))
+            exchange.handle_failure(self._failure_type(f"no HTTP answer: {error}"))
 
     def _handle_head(self, event):
         head = HttpHead(event.status_code, tuple(event.headers))
--- a/libs/transport/src/balsamspoke_transport/exceptions.py
+++ b/libs/transport/src/balsamspoke_transport/exceptions.py
@@ -11,3 +11,7 @@
 
 class ReplyBroken(Exception):
     """No complete, valid response was received; the request may have run."""
+
+
+class ReplyCutOff(ReplyBroken):
+    """The server closed the connection in good order before the response's end."""
--- a/libs/transport/tests/test_connections.py
+++ b/libs/transport/tests/test_connections.py
@@ -9,7 +9,11 @@
     HttpConnection,
     HttpExchange,
 )
-from balsamspoke_transport.exceptions import ReplyBroken, RequestMalformed
+from balsamspoke_transport.exceptions import (
+    ReplyBroken,
+    ReplyCutOff,
+    RequestMalformed,
+)
 from balsamspoke_transport.http_requests import HttpRequest
 from balsamspoke_transport.turns import MAX_CONNECTIONS_PER_TURN, TurnQueue
 from hypothesis import given
@@ -181,6 +185,14 @@
         self.connection.connectionLost(Failure(ConnectionDone()))
         self.assertEqual(self.read_all(exchange), (b"who", "broken"))
 
+    def test_a_closed_connection_is_told_from_one_that_was_lost(self):
+        for reason, is_cut_off in ((ConnectionDone(), True), (ConnectionLost(), False)):
+            self.setUp()
+            exchange = self.send_request()
+            self.connection.connectionLost(Failure(reason))
+            error = self.read_head_result(exchange).value
+            self.assertEqual(isinstance(error, ReplyCutOff), is_cut_off)
+
     def test_a_response_without_length_is_complete_only_after_a_clean_close(self):
         data = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nwhole"
         for reason, result in (
--- a/libs/types/src/balsamspoke_types/exceptions.py
+++ b/libs/types/src/balsamspoke_types/exceptions.py
@@ -17,6 +17,10 @@
     """The object API did not answer a read, or a write certainly had no effect."""
 
 
+class StoreCutOff(StoreUnavailable):
+    """The object API closed the connection in good order before its answer's end."""
+
+
 class WriteOutcomeUnknown(StoreError):
     """A write was sent but its answer was lost; it may have taken effect."""
 
