Don't refuse a stream that its caller takes up for a predicted wait

Cause: a stream that is taken up at another process was admitted like a new one, at the only replicas of its software version, where new streams compete that may go to all others besides. Evidence: test_a_stream_that_is_taken_up_is_not_refused_for_a_predicted_wait failed before. Why it works: work that was accepted before, in this answer or in an earlier one whose origin is known, is refused for no wait; it waits within its caller's time.

--- a/libs/gateway/src/balsamspoke_gateway/admission/prompts.py
+++ b/libs/gateway/src/balsamspoke_gateway/admission/prompts.py
@@ -15,7 +15,7 @@
 async def request_admission(forwarding, choice):
     """Wait until the chosen replica may be sent the prompt, if it limits prefill.
 
-    A request that may have run before is not rejected here, so it does not wait.
+    A request that was accepted before is not rejected here, so it does not wait.
 
     Parameters
     ----------
@@ -39,7 +39,7 @@
     record, load = choice.candidate.record, choice.candidate.load
     state = context.fleet.find_state(record)
     is_required = state is not None and state.requires_admission
-    if not is_required or forwarding.progress.possible_runs:
+    if not is_required or forwarding.progress.is_accepted:
         return choice
     request = _make_request(forwarding, choice)
     target = forwarding.request.prompt.target
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
@@ -171,6 +171,7 @@
             raise StreamNotResumable(reason)
         self.service = origin.service
         self.progress.software_version = origin.version
+        self.progress.is_resumption = True
 
     async def register_version(self, record):
         """Register the software version of a replica that brings the first event.
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/progress.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/progress.py
@@ -34,6 +34,8 @@
         Consecutive waits for an adapter at that replica that timed out.
     is_scheduled : bool
         Whether the request counts in its team's work.
+    is_resumption : bool
+        Whether the caller takes up a stream that has begun in an earlier request.
     """
 
     excluded_replicas: set = field(default_factory=set)
@@ -46,6 +48,12 @@
     awaited_replica: str | None = None
     adapter_timeouts: int = 0
     is_scheduled: bool = False
+    is_resumption: bool = False
+
+    @property
+    def is_accepted(self):
+        """Whether the work was accepted before, so that it isn't refused for a wait."""
+        return self.possible_runs > 0 or self.is_resumption
 
     @property
     def can_resume(self):
--- a/libs/gateway/src/balsamspoke_gateway/placement/selection.py
+++ b/libs/gateway/src/balsamspoke_gateway/placement/selection.py
@@ -253,9 +253,10 @@
         """Raise Overloaded if the request is not to wait as long as predicted.
 
         The time to load an adapter does not count: loading takes no engine time, and a
-        late answer still earns some credit.
+        late answer still earns some credit. A stream that its caller takes up was
+        accepted before, and may only go to the replicas of its software version.
         """
-        if self._progress.possible_runs:
+        if self._progress.is_accepted:
             return
         scheduling = self._context.scheduling
         scheduling.check_wait(self._forwarding, choice.wait, candidates)
@@ -287,7 +288,7 @@
         """Return the timedelta for which the request may still wait for an adapter."""
         forwarding = self._forwarding
         time_left = forwarding.time_left()
-        if self._progress.possible_runs:
+        if self._progress.is_accepted:
             return time_left
         latest = (
             forwarding.started_at + MAX_WAIT_OBJECTIVES * forwarding.route.objective
--- a/libs/gateway/tests/test_streams.py
+++ b/libs/gateway/tests/test_streams.py
@@ -306,6 +306,25 @@
         self.assertEqual(self.world.client.sent, [])
         self.assertEqual(self.world.peers.sent[-1][1].wanted[0].version, 5)
 
+    # Streams that broke under load were refused like new ones when taken up.
+    def test_a_stream_that_is_taken_up_is_not_refused_for_a_predicted_wait(self):
+        self.script_both(*[Answer(pieces=EVENTS[2:])] * 2)
+        for requires_admission in (False, True):
+            for record in self.records:
+                self.world.tell_state(
+                    record,
+                    {},
+                    others_unread_tokens=1_000_000,
+                    requires_admission=requires_admission,
+                )
+            keys = make_stream_keys("", "first", "")
+            origin = StreamStarted(keys.request, "engines", "")
+            self.world.context.stream_versions.receive("10.0.1.2", origin)
+            sink, _ = self.world.send("resumable", last_event_id=2, resumed_id="first")
+            self.assertEqual(sink.status, 200)
+            new, _ = self.world.send("resumable")
+            self.assertIsInstance(new.refusal, Overloaded)
+
     def test_refuses_at_once_if_the_predicted_wait_is_too_long(self):
         for record in self.records:
             self.world.tell_state(record, {}, others_unread_tokens=1_000_000)
