--- a/libs/transport/tests/test_reactor.py
+++ b/libs/transport/tests/test_reactor.py
@@ -5,7 +5,6 @@
 import unittest
 from dataclasses import dataclass
 from datetime import timedelta
-from pathlib import Path
 
 from balsamspoke_gateway.configuration import CallerLimits
 from balsamspoke_transport.callers import CallerFactory
@@ -18,7 +17,7 @@
 CALLER_PROCESSES = 3
 # In each of them.
 CALLERS = 40
-CALLERS_PROGRAM = str(Path(__file__).with_name("busy_callers.py"))
+CALLERS_PROGRAM = ("-m", "balsamspoke_standins.busy_callers")
 LIMITS = CallerLimits(16_384, 4_194_304, timedelta(seconds=3), timedelta(seconds=15))
 # Of the process on each request.
 WORK_SECONDS = 0.0005
@@ -96,9 +95,9 @@
 
     def add_callers(self):
         address = self.process.port.getHost()
-        program = [sys.executable, CALLERS_PROGRAM, address.host, str(address.port)]
+        target = [address.host, str(address.port), str(CALLERS)]
         for _ in range(CALLER_PROCESSES):
-            callers = subprocess.Popen([*program, str(CALLERS)])
+            callers = subprocess.Popen([sys.executable, *CALLERS_PROGRAM, *target])
             self.addCleanup(callers.wait)
             self.addCleanup(callers.kill)
 
