--- a/libs/transport/src/balsamspoke_transport/connections.py
+++ b/libs/transport/src/balsamspoke_transport/connections.py
@@ -1,26 +1,15 @@
 """Client side of HTTP/1.1: one connection to a server, one exchange at a time."""
 
-import socket
-from collections import deque
 from datetime import timedelta
 
 import h11
-from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 
 from .exceptions import ReplyBroken, ReplyCutOff, RequestMalformed
 from .http_requests import HttpHead
+from .keepalive import enable_keepalive
 
-# The kernel closes a connection whose sent data stays unacknowledged this long: the
-# peer is cut off or without power. Well above the time to retransmit a lost packet.
-UNACKNOWLEDGED_TIMEOUT = timedelta(milliseconds=1500)
-# TCP keep-alive probes on a silent connection detect a dead peer.
-KEEPALIVE_IDLE_SECONDS = 1
-KEEPALIVE_INTERVAL_SECONDS = 1
-KEEPALIVE_PROBES = 2
-# Reading from a connection pauses while this much of a body waits for its consumer.
-MAX_BUFFERED_BYTES = 32_768
 MAX_HEAD_BYTES = 65_536
 # Events of the parser, such as heads and chunks, that one connection may bring in one
 # turn of the event loop.
@@ -40,124 +29,6 @@
 _TIMEOUT_FIELD = b"timeout="
 
 
-class HttpExchange:
-    """A request on a connection and the response to it.
-
-    Parameters
-    ----------
-    request : HttpRequest
-        The request to send.
-    id_header : bytes
-        Response header that echoes the request id, in lower case.
-    """
-
-    def __init__(self, request, id_header):
-        self.request = request
-        self.id_header = id_header
-        self._head = Deferred(self._cancel)
-        self._pieces = deque()
-        self._buffered_bytes = 0
-        self._reader = None
-        self._is_complete = False
-        self._failure = None
-        self._connection = None
-        self._connecting = None
-
-    def read_head(self):
-        """Return a Deferred of the HttpHead; may be called only once.
-
-        It fails with ConnectionFailed or ReplyBroken.
-        """
-        return self._head
-
-    def read_piece(self):
-        """Return a Deferred of the next bytes of the body, empty at its end.
-
-        It fails with ConnectionFailed or ReplyBroken.
-        """
-        if self._pieces:
-            data = b"".join(self._pieces)
-            self._pieces.clear()
-            self._buffered_bytes = 0
-            if self._connection is not None:
-                self._connection.resume_reading()
-            return succeed(data)
-        if self._failure is not None:
-            return fail(self._failure)
-        if self._is_complete:
-            return succeed(b"")
-        self._reader = Deferred(self._cancel)
-        return self._reader
-
-    def abort(self):
-        """Close the connection unless the response is complete."""
-        if self._is_complete or self._failure is not None:
-            return
-        self._failure = ReplyBroken("aborted here")
-        if self._connecting is not None:
-            self._connecting.cancel()
-        if self._connection is not None:
-            connection, self._connection = self._connection, None
-            connection.abort_connection()
-
-    @property
-    def has_failed(self):
-        """Whether the exchange failed or was aborted."""
-        return self._failure is not None
-
-    def set_connecting(self, connecting):
-        """Set the connection attempt, which ``abort`` cancels.
-
-        Parameters
-        ----------
-        connecting : object
-            Has a method ``cancel``.
-        """
-        self._connecting = connecting
-
-    def set_connection(self, connection):
-        """Set the HttpConnection that the request is sent on."""
-        self._connecting = None
-        self._connection = connection
-
-    def handle_head(self, head):
-        """Receive the HttpHead of the response."""
-        self._head.callback(head)
-
-    def handle_data(self, data):
-        """Receive bytes of the body; return whether to continue reading."""
-        if self._reader is not None:
-            reader, self._reader = self._reader, None
-            reader.callback(data)
-            return True
-        self._pieces.append(data)
-        self._buffered_bytes += len(data)
-        return self._buffered_bytes < MAX_BUFFERED_BYTES
-
-    def handle_end(self):
-        """Receive the end of a complete response."""
-        self._is_complete = True
-        self._connection = None
-        if self._reader is not None:
-            reader, self._reader = self._reader, None
-            reader.callback(b"")
-
-    def handle_failure(self, error):
-        """Fail the exchange with an exception, unless it has ended already."""
-        if self._is_complete or self._failure is not None:
-            return
-        self._failure = error
-        self._connection = None
-        reader, self._reader = self._reader, None
-        if not self._head.called:
-            self._head.errback(error)
-        elif reader is not None:
-            reader.errback(error)
-
-    def _cancel(self, _):
-        self.abort()
-
-
 class HttpConnection(Protocol):
     """A persistent connection, which serves one HttpExchange after another.
 
@@ -417,24 +288,3 @@
         self._is_stale_response = False
         if rest:
             self._parser.receive_data(rest)
-
-
-def enable_keepalive(transport):
-    """Make the kernel close a connection whose peer stops responding.
-
-    Sets TCP keep-alive and the user timeout; also disables Nagle's algorithm.
-    """
-    transport.setTcpNoDelay(True)
-    transport.setTcpKeepAlive(True)
-    handle = transport.getHandle()
-    options = (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (
-            socket.TCP_USER_TIMEOUT,
-            int(UNACKNOWLEDGED_TIMEOUT.total_seconds() * 1000),
-        ),
-    )
-    for option, value in options:
-        handle.setsockopt(socket.IPPROTO_TCP, option, value)
--- /dev/null
+++ b/libs/transport/src/balsamspoke_transport/keepalive.py
@@ -0,0 +1,33 @@
+"""Detection of dead peers by the kernel."""
+
+import socket
+from datetime import timedelta
+
+# The kernel closes a connection whose sent data stays unacknowledged this long: the
+# peer is cut off or without power. Well above the time to retransmit a lost packet.
+UNACKNOWLEDGED_TIMEOUT = timedelta(milliseconds=1500)
+# TCP keep-alive probes on a silent connection detect a dead peer.
+KEEPALIVE_IDLE_SECONDS = 1
+KEEPALIVE_INTERVAL_SECONDS = 1
+KEEPALIVE_PROBES = 2
+
+
+def enable_keepalive(transport):
+    """Make the kernel close a connection whose peer stops responding.
+
+    Sets TCP keep-alive and the user timeout; also disables Nagle's algorithm.
+    """
+    transport.setTcpNoDelay(True)
+    transport.setTcpKeepAlive(True)
+    handle = transport.getHandle()
+    options = (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (
+            socket.TCP_USER_TIMEOUT,
+            int(UNACKNOWLEDGED_TIMEOUT.total_seconds() * 1000),
+        ),
+    )
+    for option, value in options:
+        handle.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/libs/transport/src/balsamspoke_transport/pool.py
+++ b/libs/transport/src/balsamspoke_transport/pool.py
@@ -7,8 +7,9 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.python.failure import Failure
 
-from .connections import HttpConnection, HttpExchange
+from .connections import HttpConnection
 from .exceptions import ConnectionFailed
+from .exchanges import HttpExchange
 from .turns import TurnQueue
 
 # Within a region a connection is established in a few milliseconds.
--- a/libs/transport/tests/test_callers.py
+++ b/libs/transport/tests/test_callers.py
@@ -4,11 +4,8 @@
 
 from balsamspoke_gateway.configuration import CallerLimits
 from balsamspoke_transport import callers
-from balsamspoke_transport.callers import (
-    MAX_BYTES_PER_TURN,
-    CallerFactory,
-    find_reason_phrase,
-)
+from balsamspoke_transport.caller_exchanges import find_reason_phrase
+from balsamspoke_transport.callers import MAX_BYTES_PER_TURN, CallerFactory
 from twisted.internet.error import ConnectionLost
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
--- a/libs/transport/tests/test_connections.py
+++ b/libs/transport/tests/test_connections.py
@@ -4,16 +4,13 @@
 
 from balsamspoke_fakes import VirtualClock, VirtualTime
 from balsamspoke_fakes.properties import examples
-from balsamspoke_transport.connections import (
-    MAX_EVENTS_PER_TURN,
-    HttpConnection,
-    HttpExchange,
-)
+from balsamspoke_transport.connections import MAX_EVENTS_PER_TURN, HttpConnection
 from balsamspoke_transport.exceptions import (
     ReplyBroken,
     ReplyCutOff,
     RequestMalformed,
 )
+from balsamspoke_transport.exchanges import HttpExchange
 from balsamspoke_transport.http_requests import HttpRequest
 from balsamspoke_transport.turns import MAX_CONNECTIONS_PER_TURN, TurnQueue
 from hypothesis import given
