--- a/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
@@ -18,6 +18,7 @@
 )
 from ..observing import BackoffRequested, HeaderUnreadable, StreamResumed
 from ..requests import ReplicaRequest
+from .attempt_load import AttemptLoad
 from .caller_pauses import CallerPauses
 from .measurements import AttemptMeasurements
 from .streams import EventSplitter
@@ -64,9 +65,11 @@
         self._context = forwarding.context
         self._choice = choice
         self._record = choice.candidate.record
-        self._load = choice.candidate.load
-        self._unread_tokens = 0
-        self._measurements = AttemptMeasurements(forwarding, self._record, self._load)
+        load = choice.candidate.load
+        self._load = AttemptLoad(
+            load, forwarding.request.prompt, forwarding.stated_priority
+        )
+        self._measurements = AttemptMeasurements(forwarding, self._record, load)
         self._sent_at = None
         self._last_event_at = None
         self._first_event_at = None
@@ -144,14 +147,10 @@
     def _record_start(self):
         forwarding = self._forwarding
         request = forwarding.request
-        self._load.in_flight += 1
+        self._load.begin()
         self.state_age = self._context.fleet.find_state_age(self._record)
         if request.prompt is not None:
-            self._unread_tokens = request.prompt.tokens
-            self._load.unread_tokens += self._unread_tokens
             priority = forwarding.stated_priority
-            if self._unread_tokens and priority is not None:
-                self._load.unread_prompts.add(priority, self._unread_tokens)
             self._measurements.record_prompt(request.prompt, priority)
             self._context.demands.record_start(self._record.id, request.prompt.target)
             self.version = forwarding.find_held_version(self._record)
@@ -176,23 +175,12 @@
 
     def _end(self):
         self._time_limit.close()
-        self._load.in_flight -= 1
+        self._load.end()
         self._context.quarantine.remove_attempt(self)
-        self._release_unread_tokens()
         prompt = self._forwarding.request.prompt
         if prompt is not None:
             self._context.demands.record_end(self._record.id, prompt.target)
 
-    def _release_unread_tokens(self):
-        """Remove the prompt from the replica's backlog, once read or given up."""
-        if not self._unread_tokens:
-            return
-        self._load.unread_tokens -= self._unread_tokens
-        priority = self._forwarding.stated_priority
-        if priority is not None:
-            self._load.unread_prompts.add(priority, -self._unread_tokens, -1)
-        self._unread_tokens = 0
-
     def _record_failure(self, error):
         now = self._context.clock.monotonic()
         is_unreachable = isinstance(error, NotSent)
@@ -407,7 +395,7 @@
         self._first_event_at = self._context.clock.monotonic()
         self._forwarding.record_first_event(self._record, self.version)
         self._report_resumption()
-        if not self._unread_tokens:
+        if not self._load.unread_tokens:
             return
         self._measurements.record_first_event(self._first_event_at - self._sent_at)
         prompt = self._forwarding.request.prompt
@@ -415,5 +403,5 @@
             self._context.peers.send(
                 self._record.ip, PrefillEnded(self._choice.admission_number)
             )
-        self._release_unread_tokens()
+        self._load.release_prompt()
         self._context.prefix_tracker.record_read(prompt, self._record.id)
