--- a/libs/transport/tests/test_callers.py
+++ b/libs/transport/tests/test_callers.py
@@ -1,11 +1,15 @@
+import itertools
 import unittest
 from datetime import timedelta
 from unittest import mock
 
+from balsamspoke_fakes.properties import examples
 from balsamspoke_gateway.configuration import CallerLimits
 from balsamspoke_transport import callers
 from balsamspoke_transport.caller_exchanges import find_reason_phrase
 from balsamspoke_transport.callers import MAX_BYTES_PER_TURN, CallerFactory
+from hypothesis import given
+from hypothesis import strategies as st
 from twisted.internet.error import ConnectionLost
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
@@ -20,6 +24,18 @@
 REQUEST_HEAD = b"POST /a HTTP/1.1\r\nHost: x\r\n"
 
 
+def write_request(framing, body):
+    """Return a request with no body, one with a length, or one in small chunks."""
+    if framing == "n":
+        return REQUEST_HEAD + b"\r\n"
+    if framing == "l":
+        return REQUEST_HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    pieces = [body[begin : begin + 7] for begin in range(0, len(body), 7)]
+    chunks = b"".join(b"%x\r\n%s\r\n" % (len(each), each) for each in pieces)
+    head = REQUEST_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+    return head + chunks + b"0\r\n\r\n"
+
+
 class CallerLimitTests(unittest.TestCase):
     def setUp(self):
         patch = mock.patch.object(callers, "enable_keepalive")
@@ -27,6 +43,7 @@
         self.addCleanup(patch.stop)
         self.clock = Clock()
         self.limits = LIMITS
+        self.answer_delay = 0
         self.bodies = []
         factory = CallerFactory(
             self.clock,
@@ -42,6 +59,13 @@
 
     def handle_request(self, exchange):
         self.bodies.append(exchange.content.read())
+        if self.answer_delay:
+            self.clock.callLater(self.answer_delay, self.answer, exchange)
+        else:
+            self.answer(exchange)
+
+    @staticmethod
+    def answer(exchange):
         exchange.start(200, (), 2)
         exchange.write(b"ok")
         exchange.finish()
@@ -87,6 +111,34 @@
         self.assertEqual(self.transport.value().count(b" 200 "), 300)
         self.assertEqual(self.transport.producerState, "producing")
 
+    @examples(100)
+    @given(
+        st.lists(st.tuples(st.sampled_from("nlc"), st.integers(0, 6000)), max_size=5),
+        st.lists(st.integers(0, 30_000), max_size=12),
+        st.booleans(),
+    )
+    def test_any_split_of_requests_that_come_together_gives_the_same(
+        self, requests, cuts, is_answered_at_once
+    ):
+        self.setUp()
+        self.limits = CallerLimits()
+        if not is_answered_at_once:
+            self.answer_delay = 0.05
+        bodies = [
+            b"" if framing == "n" else bytes([97 + number]) * size
+            for number, (framing, size) in enumerate(requests)
+        ]
+        framings = (framing for framing, _ in requests)
+        data = b"".join(map(write_request, framings, bodies))
+        places = [0, *sorted(min(cut, len(data)) for cut in cuts), len(data)]
+        for begin, end in itertools.pairwise(places):
+            if end > begin:
+                self.channel.dataReceived(data[begin:end])
+                self.clock.advance(0.01)
+        self.advance_time(1)
+        self.assertEqual(self.bodies, bodies)
+        self.assertEqual(self.transport.value().count(b" 200 "), len(requests))
+
     def test_a_connection_that_is_lost_between_two_turns_answers_no_more(self):
         request = REQUEST_HEAD + b"Content-Length: 0\r\n\r\n"
         self.channel.dataReceived(request * 300)
