Bound the datagrams that are read in one turn of the event loop

What callers would see: a storm of small datagrams stands before all timers and sockets of a process; up to 256 KB were read in one turn, of which the kernel's buffer held 250 small ones here. Why it works: 8 KB are read a turn; the rest waits in the kernel as before. Entry and side processes open the port in one place.

--- a/libs/transport/src/balsamspoke_transport/datagrams.py
+++ b/libs/transport/src/balsamspoke_transport/datagrams.py
@@ -55,6 +55,9 @@
     SlowdownNotice: 18,
     WorkReport: 24,
 }
+# Bytes of datagrams that are read in one turn of the event loop.
+MAX_BYTES_PER_TURN = 8_192
+MAX_DATAGRAM_BYTES = 65_536
 _DECODERS = {number: msgpack.Decoder(kind) for kind, number in _TYPE_NUMBERS.items()}
 
 
@@ -76,6 +79,20 @@
         self._on_message = on_message
         self._encoder = msgpack.Encoder()
 
+    def listen(self, reactor, ip):
+        """Listen on the address of this process; return the port.
+
+        Parameters
+        ----------
+        reactor : IReactorUDP
+            Opens the socket.
+        ip : str
+            IP address of this process's VM.
+        """
+        port = reactor.listenUDP(self._port, self, ip, maxPacketSize=MAX_DATAGRAM_BYTES)
+        port.maxThroughput = MAX_BYTES_PER_TURN
+        return port
+
     def send(self, ip, message):
         """Send a message to the process at an IP address.
 
