--- a/libs/daemon/src/balsamspoke_daemon/process.py
+++ b/libs/daemon/src/balsamspoke_daemon/process.py
@@ -22,6 +22,7 @@
     ReactorClock,
     build_agent,
 )
+from balsamspoke_transport.lateness import TimerProbe
 from balsamspoke_transport.meters import read_metrics
 from balsamspoke_types.identifiers import ProcessId
 from loguru import logger
@@ -71,7 +72,11 @@
         self._is_stopping = False
         self._ports = []
         set_up_logs(settings, self.process)
-        self._observer = Observers(LogObserver(self._clock), MetricsObserver())
+        metrics = MetricsObserver()
+        self._observer = Observers(LogObserver(self._clock), metrics)
+        self._timer_probe = TimerProbe(
+            self._clock, metrics.record_lateness, self._observer
+        )
         self._node = self._make_node()
 
     async def start(self):
@@ -91,6 +96,7 @@
         else:
             self._open_status(describe_side)
         self._node.start()
+        self._timer_probe.start()
         for signal_number in STOP_SIGNALS:
             self._loop.add_signal_handler(signal_number, self._begin_stop)
         logger.info("started")
--- a/libs/transport/src/balsamspoke_transport/meters.py
+++ b/libs/transport/src/balsamspoke_transport/meters.py
@@ -40,8 +40,16 @@
         self._events = self.meter.create_counter(
             "balsamspoke_events", description=description
         )
+        self._timer_lateness = self.meter.create_histogram(
+            "balsamspoke_timer_lateness_seconds",
+            description="How late timers run: each answer may be as late beside it.",
+        )
         self._handlers = {}
 
+    def record_lateness(self, lateness):
+        """Record how late (timedelta) a timer of the process ran."""
+        self._timer_lateness.record(lateness.total_seconds())
+
     def add_handler(self, event_class, handler):
         """Set the handler of an event class.
 
--- a/libs/transport/src/balsamspoke_transport/metrics.py
+++ b/libs/transport/src/balsamspoke_transport/metrics.py
@@ -44,19 +44,11 @@
         self._orders = meter.create_counter(
             "balsamspoke_orders", description="Orders to the replica by outcome."
         )
-        self._timer_lateness = meter.create_histogram(
-            "balsamspoke_timer_lateness_seconds",
-            description="How late timers run: each answer may be as late beside it.",
-        )
         self.add_handler(RequestEnded, self._record_request)
         self.add_handler(AttemptEnded, self._count_attempt)
         self.add_handler(RetryDecided, self._count_retry)
         self.add_handler(OrderGiven, self._count_order)
 
-    def record_lateness(self, lateness):
-        """Record how late (timedelta) a timer of the process ran."""
-        self._timer_lateness.record(lateness.total_seconds())
-
     def add_gauge(self, name, description, read):
         """Add a gauge.
 
