Split streams whose lines end with CR LF, too

Cause: events were split at LF LF alone. Why it works: an empty line is found after either line end, from where the search left off; events are passed on byte for byte as before.

--- a/libs/gateway/src/balsamspoke_gateway/forwarding/streams.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/streams.py
@@ -4,7 +4,9 @@
 
 from ..event_ids import EventId, parse_event_id
 
-_EVENT_END = b"\n\n"
+# Empty lines, after lines that end with LF or with CR LF.
+_EVENT_ENDS = (b"\n\n", b"\n\r\n")
+_LONGEST_EVENT_END = max(map(len, _EVENT_ENDS))
 _ID_FIELD = b"id:"
 # Longest event. One that doesn't end must not fill the memory.
 MAX_EVENT_BYTES = 1_048_576
@@ -60,12 +62,17 @@
         return events
 
     def _take_next(self):
-        end = self._buffer.find(_EVENT_END, self._searched)
-        if end < 0:
-            self._searched = max(0, len(self._buffer) - len(_EVENT_END) + 1)
+        ends = [
+            begin + len(each)
+            for each in _EVENT_ENDS
+            if (begin := self._buffer.find(each, self._searched)) >= 0
+        ]
+        if not ends:
+            self._searched = max(0, len(self._buffer) - _LONGEST_EVENT_END + 1)
             return None
-        block = bytes(self._buffer[:end])
-        del self._buffer[: end + len(_EVENT_END)]
+        size = min(ends)
+        block = bytes(self._buffer[:size])
+        del self._buffer[:size]
         self._searched = 0
         return _parse_event(block)
 
@@ -75,4 +82,4 @@
     for line in block.split(b"\n"):
         if line.startswith(_ID_FIELD):
             event_id = parse_event_id(line[len(_ID_FIELD) :])
-    return StreamEvent(block + _EVENT_END, event_id)
+    return StreamEvent(block, event_id)
