Pause reading from a caller again while its bytes wait for their turn

What others would see: a caller whose answers pause and go on, which resumes reading, could fill the memory with requests that wait for their turn. The new test failed before. Every read while bytes wait pauses reading again.

--- a/libs/transport/src/balsamspoke_transport/callers.py
+++ b/libs/transport/src/balsamspoke_transport/callers.py
@@ -214,7 +214,10 @@
         if self._is_handling:
             if len(self._unparsed) > MAX_WAITING_BYTES:
                 self._networkProducer.pauseProducing()
-        elif not self._is_behind and self._parse_turn():
+        elif self._is_behind:
+            # Reading goes on after each pause of the answers' own.
+            self._networkProducer.pauseProducing()
+        elif self._parse_turn():
             self._wait_for_turn()
 
     def _wait_for_turn(self):
--- a/libs/transport/tests/test_callers.py
+++ b/libs/transport/tests/test_callers.py
@@ -111,6 +111,16 @@
         self.assertEqual(self.transport.value().count(b" 200 "), 300)
         self.assertEqual(self.transport.producerState, "producing")
 
+    # A caller whose answers pause and go on sent without a bound meanwhile.
+    def test_reading_pauses_again_if_it_was_resumed_before_its_turn(self):
+        request = REQUEST_HEAD + b"Content-Length: 0\r\n\r\n"
+        self.channel.dataReceived(request * 300)
+        self.transport.resumeProducing()
+        self.channel.dataReceived(request * 300)
+        self.assertEqual(self.transport.producerState, "paused")
+        self.pass_turns()
+        self.assertEqual(len(self.bodies), 600)
+
     @examples(100)
     @given(
         st.lists(st.tuples(st.sampled_from("nlc"), st.integers(0, 6000)), max_size=5),
