--- a/libs/transport/src/balsamspoke_transport/process.py
+++ b/libs/transport/src/balsamspoke_transport/process.py
@@ -13,9 +13,9 @@
 DEREGISTRATION_TIME = timedelta(seconds=2.8)
 POLL_INTERVAL = timedelta(milliseconds=100)
 # Time between the end of the drain and the kill of the process.
-KILL_MARGIN = timedelta(milliseconds=500)
+KILL_MARGIN = timedelta(milliseconds=600)
 # Part of the margin for the answers to requests that are ended by the stop.
-FLUSH_TIME = timedelta(milliseconds=150)
+FLUSH_TIME = timedelta(milliseconds=100)
 
 
 class StopHandler:
