--- a/benchmarks/timers_under_load.py
+++ b/benchmarks/timers_under_load.py
@@ -24,7 +24,7 @@
 from balsamspoke_types.timing import sleep
 from twisted.internet.defer import Deferred
 
-CALLERS = (5, 10, 20, 40, 80, 160)
+CALLERS = (10, 40, 160, 320, 640)
 START_TIME = timedelta(seconds=4)
 SETTLING_TIME = timedelta(seconds=1)
 REPLICAS = 3
