--- a/libs/gateway/src/balsamspoke_gateway/forwarding/progress.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/progress.py
@@ -35,7 +35,7 @@
     is_scheduled : bool
         Whether the request counts in its team's work.
     is_resumption : bool
-        Whether the caller takes up a stream that has begun in an earlier request.
+        Whether the caller resumes a stream that began in an earlier request.
     """
 
     excluded_replicas: set = field(default_factory=set)
@@ -57,7 +57,7 @@
 
     @property
     def can_resume(self):
-        """Whether a stream that has begun can go on after its last event.
+        """Whether a stream that has begun can be resumed after its last event.
 
         Only of ids that are numbers can be told whether an event is a later one.
         """
--- a/libs/gateway/src/balsamspoke_gateway/placement/selection.py
+++ b/libs/gateway/src/balsamspoke_gateway/placement/selection.py
@@ -253,7 +253,7 @@
         """Raise Overloaded if the request is not to wait as long as predicted.
 
         The time to load an adapter does not count: loading takes no engine time, and a
-        late answer still earns some credit. A stream that its caller takes up was
+        late answer still earns some credit. A stream that its caller resumes was
         accepted before, and may only go to the replicas of its software version.
         """
         if self._progress.is_accepted:
--- a/libs/gateway/tests/test_streams.py
+++ b/libs/gateway/tests/test_streams.py
@@ -306,8 +306,8 @@
         self.assertEqual(self.world.client.sent, [])
         self.assertEqual(self.world.peers.sent[-1][1].wanted[0].version, 5)
 
-    # Streams that broke under load were refused like new ones when taken up.
-    def test_a_stream_that_is_taken_up_is_not_refused_for_a_predicted_wait(self):
+    # Streams that broke under load were refused like new ones when resumed.
+    def test_a_stream_that_is_resumed_is_not_refused_for_a_predicted_wait(self):
         self.script_both(*[Answer(pieces=EVENTS[2:])] * 2)
         for requires_admission in (False, True):
             for record in self.records:
--- a/libs/transport/src/balsamspoke_transport/callers.py
+++ b/libs/transport/src/balsamspoke_transport/callers.py
@@ -51,7 +51,7 @@
     channels : set of CallerChannel
         The open connections.
     turns : TurnQueue
-        Goes on with what exceeds a connection's part of a turn.
+        Resumes the connections that have more work than a turn may hold.
     """
 
     noisy = False
@@ -133,8 +133,8 @@
         self._room_waiter = None
         self._unparsed = bytearray()
         self._is_handling = False
-        # Whether the connection waits for its next turn.
-        self._is_behind = False
+        # Whether the rest is parsed in a later turn.
+        self._is_deferred = False
         self.is_full = False
         self.limits = None
 
@@ -177,7 +177,7 @@
         if not self.persistent:
             self._unparsed.clear()
         if self._unparsed:
-            self._wait_for_turn()
+            self._defer()
 
     def allContentReceived(self):
         """Handle a whole request, and keep what follows it until it is answered."""
@@ -214,24 +214,24 @@
         if self._is_handling:
             if len(self._unparsed) > MAX_WAITING_BYTES:
                 self._networkProducer.pauseProducing()
-        elif self._is_behind:
-            # Reading goes on after each pause of the answers' own.
+        elif self._is_deferred:
+            # Backpressure of the answers has ended, which resumes reading.
             self._networkProducer.pauseProducing()
         elif self._parse_turn():
-            self._wait_for_turn()
+            self._defer()
 
-    def _wait_for_turn(self):
-        if not self._is_behind:
-            self._is_behind = True
+    def _defer(self):
+        if not self._is_deferred:
+            self._is_deferred = True
             self._networkProducer.pauseProducing()
-            self._factory.turns.add(self._catch_up)
+            self._factory.turns.add(self._parse_deferred)
 
-    def _catch_up(self):
+    def _parse_deferred(self):
         """Parse on in a later turn; return whether there is more to parse."""
-        self._is_behind = self._parse_turn()
-        if not self._is_behind and not self._waitingForTransport:
+        self._is_deferred = self._parse_turn()
+        if not self._is_deferred and not self._waitingForTransport:
             self._networkProducer.resumeProducing()
-        return self._is_behind
+        return self._is_deferred
 
     def _parse_turn(self):
         """Parse what one turn may hold; return whether more can be parsed."""
--- a/libs/transport/src/balsamspoke_transport/connections.py
+++ b/libs/transport/src/balsamspoke_transport/connections.py
@@ -37,7 +37,7 @@
     clock : Clock
         Measures how long the connection has been idle.
     turns : TurnQueue
-        Goes on with the work that exceeds a turn.
+        Resumes the connections that have more work than a turn may hold.
     on_idle : callable
         Called with this connection when it can be used for another request.
     on_closed : callable
@@ -59,8 +59,8 @@
         self._is_stale_response = False
         self._has_answered = False
         self._is_paused = False
-        # Whether bytes that were received are still to be parsed.
-        self._is_behind = False
+        # Whether the rest of what was received is parsed in a later turn.
+        self._is_deferred = False
         self._body_pieces = []
         self._failure_type = ReplyBroken
         self._keep_alive_timeout = DEFAULT_KEEP_ALIVE_TIMEOUT
@@ -113,7 +113,7 @@
         """Continue to read after the exchange's buffer was emptied."""
         if self._is_paused:
             self._is_paused = False
-            if not self._is_behind:
+            if not self._is_deferred:
                 self.transport.resumeProducing()
 
     def dataReceived(self, data):
@@ -160,16 +160,16 @@
             self._fail(error)
             return
         if self._handle_events():
-            self._is_behind = True
+            self._is_deferred = True
             self.transport.pauseProducing()
-            self._turns.add(self._catch_up)
+            self._turns.add(self._parse_deferred)
 
-    def _catch_up(self):
+    def _parse_deferred(self):
         """Parse on in a later turn; return whether there is more to parse."""
-        self._is_behind = self._handle_events()
-        if not self._is_behind and not self._is_paused and not self.is_closed:
+        self._is_deferred = self._handle_events()
+        if not self._is_deferred and not self._is_paused and not self.is_closed:
             self.transport.resumeProducing()
-        return self._is_behind
+        return self._is_deferred
 
     def _handle_events(self):
         """Handle the events of one turn; return whether there may be more."""
--- a/libs/transport/src/balsamspoke_transport/reactor.py
+++ b/libs/transport/src/balsamspoke_transport/reactor.py
@@ -15,7 +15,7 @@
     moves a timer, as any request on a kept connection does, none runs.
 
     Its time is that since boot, including VM suspension. Timers by the time of day, as
-    Twisted's own, stand still after the clock was set back.
+    Twisted's own, are late after the clock was set back.
 
     Parameters
     ----------
--- a/libs/transport/src/balsamspoke_transport/turns.py
+++ b/libs/transport/src/balsamspoke_transport/turns.py
@@ -3,16 +3,16 @@
 from collections import deque
 from datetime import timedelta
 
-# Connections that may go on with their work in one turn. What they do in it is bounded
-# by the connections themselves.
+# Connections that are resumed in one turn. What each does in it is bounded by the
+# connection itself.
 MAX_CONNECTIONS_PER_TURN = 4
 
 
 class TurnQueue:
     """Connections with more work than one turn of the loop may hold.
 
-    They go on one after another, some in each turn. Sockets and timers run in between,
-    so that no peer's bytes hold up what others wait for.
+    They are resumed in the order in which they came, some in each turn. Sockets and
+    timers run in between, so that no peer's bytes delay what others wait for.
 
     Parameters
     ----------
@@ -48,7 +48,7 @@
                 if work():
                     self._waiting.append(work)
         finally:
-            # If one fails, the others go on all the same.
+            # If one fails, the others are resumed all the same.
             self._waiting.extendleft(reversed(due))
             if self._waiting:
                 self._schedule()
--- a/libs/transport/tests/test_callers.py
+++ b/libs/transport/tests/test_callers.py
@@ -111,7 +111,7 @@
         self.assertEqual(self.transport.value().count(b" 200 "), 300)
         self.assertEqual(self.transport.producerState, "producing")
 
-    # A caller whose answers pause and go on sent without a bound meanwhile.
+    # A caller whose reads were resumed before its turn filled the memory.
     def test_reading_pauses_again_if_it_was_resumed_before_its_turn(self):
         request = REQUEST_HEAD + b"Content-Length: 0\r\n\r\n"
         self.channel.dataReceived(request * 300)
--- a/libs/transport/tests/test_connections.py
+++ b/libs/transport/tests/test_connections.py
@@ -372,7 +372,7 @@
 
         return work
 
-    # The connections of a sick replica took a turn that grew with their number.
+    # A faulty replica's connections took a turn that grew with their number.
     def test_few_connections_go_on_in_each_turn_and_take_turns(self):
         count = 3 * MAX_CONNECTIONS_PER_TURN
         for name in range(count):
