--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -171,7 +171,7 @@
     def end_requests(self):
         """Answer all open requests at once, as the process ends."""
         for running, forwarding in list(self._running.items()):
-            forwarding.end()
+            forwarding.mark_ending()
             running.cancel()
 
     def receive_message(self, ip, message):
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/forwarding.py
@@ -83,7 +83,7 @@
         self._last_error = None
         self._is_ending = False
 
-    def end(self):
+    def mark_ending(self):
         """Let the next cancellation be that of the process, not of the caller."""
         self._is_ending = True
 
