--- a/libs/gateway/src/balsamspoke_gateway/fleet/replicas.py
+++ b/libs/gateway/src/balsamspoke_gateway/fleet/replicas.py
@@ -105,6 +105,15 @@
         """Record the time (monotonic timedelta) at which the store recovered."""
         self._grace_until = now + RECOVERY_GRACE
 
+    @property
+    def missing(self):
+        """Ids (frozenset) of the replicas that stay in use without an entry."""
+        return frozenset(self._missing)
+
+    def find_grace_left(self, now):
+        """Return the timedelta until missing entries count as removed."""
+        return self._grace_until - now
+
     def is_recovering(self, now):
         """Return whether the store has recovered within ``RECOVERY_GRACE``."""
         return self._grace_until is not None and now < self._grace_until
--- a/libs/gateway/src/balsamspoke_gateway/observing/__init__.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing/__init__.py
@@ -18,6 +18,7 @@
     RateLimitLifted,
     RateLimitNamed,
     ReplicaChanged,
+    ReplicaMissing,
     ReplicasListed,
     ReplicaSpeedChanged,
     ReplicaTurnedCold,
@@ -42,6 +43,7 @@
     PeersAhead,
     StoreRestored,
     VersionsRegistered,
+    WatchFailed,
 )
 
 __all__ = [
@@ -71,6 +73,7 @@
     "RateLimitNamed",
     "ReplicaChanged",
     "ReplicaCrashed",
+    "ReplicaMissing",
     "ReplicaTurnedCold",
     "ReplicaTurnedWarm",
     "ReplicaSpeedChanged",
@@ -84,4 +87,5 @@
     "TeamsLimited",
     "TimersLate",
     "VersionsRegistered",
+    "WatchFailed",
 ]
--- a/libs/gateway/src/balsamspoke_gateway/observing/replicas.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing/replicas.py
@@ -39,6 +39,22 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicaMissing:
+    """The entry of a replica is missing, and the replica stays in use for a time.
+
+    Attributes
+    ----------
+    replica : str
+        Id of the replica.
+    time_left : float
+        Seconds until it counts as gone, unless its entry is written again.
+    """
+
+    replica: str
+    time_left: float
+
+
 @dataclass(frozen=True, slots=True)
 class BackoffRequested:
     """A replica refused a request, and wants none for a time.
--- a/libs/gateway/src/balsamspoke_gateway/observing/store.py
+++ b/libs/gateway/src/balsamspoke_gateway/observing/store.py
@@ -64,6 +64,25 @@
     era: int
 
 
+@dataclass(frozen=True, slots=True)
+class WatchFailed:
+    """A watch of records in the store ended without an answer.
+
+    Attributes
+    ----------
+    records : str
+        Kind of the records.
+    duration : float
+        Seconds since the watch began.
+    reason : str
+        Text of the error.
+    """
+
+    records: str
+    duration: float
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class VersionsRegistered:
     """The software versions at which streams may have begun were changed here.
--- a/libs/gateway/src/balsamspoke_gateway/store/following.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/following.py
@@ -8,6 +8,8 @@
 from twisted.internet.defer import CancelledError, ensureDeferred
 from twisted.python.failure import Failure
 
+from ..observing import WatchFailed
+
 # Backoff after a failed call, doubled up to the maximum. Calls are billed even if the
 # store refuses them, and all processes share its rate limit.
 MIN_BACKOFF = timedelta(milliseconds=150)
@@ -68,6 +70,8 @@
 
     Parameters
     ----------
+    name : str
+        Kind of the records, for events.
     source : RecordSource
         Lists and watches the records.
     clock : Clock
@@ -81,6 +85,8 @@
     min_interval : timedelta or None
         Shortest time between two polls after a change; changes in between arrive
         together.
+    observer : Observer
+        Receives WatchFailed.
     report_bug : callable
         Called with the Failure of an unexpected error, after which the records are
         listed again.
@@ -88,20 +94,24 @@
 
     def __init__(
         self,
+        name,
         source,
         clock,
         reachability,
         on_list,
         on_change,
         min_interval,
+        observer,
         report_bug,
     ):
+        self._name = name
         self._source = source
         self._clock = clock
         self._reachability = reachability
         self._on_list = on_list
         self._on_change = on_change
         self._min_interval = min_interval
+        self._observer = observer
         self._report_bug = report_bug
         self._polling = None
         self._restart_delay = None
@@ -154,8 +164,13 @@
                 await sleep(self._clock, self._min_interval)
 
     async def _poll(self, position):
+        began_at = self._clock.monotonic()
         self._polling = ensureDeferred(self._source.poll(position))
         try:
             return await self._polling
+        except StoreUnavailable as error:
+            duration = (self._clock.monotonic() - began_at).total_seconds()
+            self._observer.observe(WatchFailed(self._name, duration, str(error)))
+            raise
         finally:
             self._polling = None
--- a/libs/gateway/src/balsamspoke_gateway/store/view.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/view.py
@@ -12,6 +12,7 @@
     ConfigurationAdopted,
     EntriesListed,
     ReplicaChanged,
+    ReplicaMissing,
     ReplicasListed,
     StoreRestored,
 )
@@ -70,6 +71,7 @@
         self._followers = []
         self._replica_era = None
         self._heard_era = 0
+        self._reported_missing = frozenset()
         self.peers = PeerDirectory(context.settings.ip)
         self.reachability = Reachability(
             STORE, context.clock, context.observer, self._record_store_recovery
@@ -82,14 +84,27 @@
     def start(self):
         """Start to follow the records; return at once."""
         sources = self._sources
-        self._follow(sources.configurations, self._apply_configurations, None)
+        self._follow(
+            "configurations", sources.configurations, self._apply_configurations, None
+        )
         replica_interval = REPLICA_POLL_RATIO * self._context.settings.drain_time
-        self._follow(sources.replicas, self._apply_replicas, replica_interval)
-        self._follow(sources.versions, self._apply_versions, VERSION_POLL_INTERVAL)
-        self._follow(sources.entries, self._apply_entries, ENTRY_POLL_INTERVAL)
+        self._follow(
+            "replicas", sources.replicas, self._apply_replicas, replica_interval
+        )
+        self._follow(
+            "adapter versions",
+            sources.versions,
+            self._apply_versions,
+            VERSION_POLL_INTERVAL,
+        )
+        self._follow(
+            "entry processes", sources.entries, self._apply_entries, ENTRY_POLL_INTERVAL
+        )
         if sources.drained_domains is not None:
             source = self._context.drained_domains.track(sources.drained_domains)
-            follower = self._follow(source, self._apply_drained_domains, None)
+            follower = self._follow(
+                "drained domains", source, self._apply_drained_domains, None
+            )
             self._context.drained_domains.set_follower(follower)
 
     def record_peer_era(self, era):
@@ -103,7 +118,7 @@
         """Read the list of entry processes anew, besides the watch of its changes."""
         self._run(self._list_peers())
 
-    def _follow(self, source, apply_page, min_interval):
+    def _follow(self, name, source, apply_page, min_interval):
         context = self._context
 
         def on_list(page):
@@ -114,12 +129,14 @@
             apply_page(page, False)
 
         follower = Follower(
+            name,
             source,
             context.clock,
             self.reachability,
             on_list,
             on_change,
             min_interval,
+            context.observer,
             context.report_bug,
         )
         self._followers.append(follower)
@@ -196,6 +213,7 @@
             is_restored = self._adopt_replicas(records, page.position.era, now)
             listed = ReplicasListed(len(records), page.position.revision)
             self._context.observer.observe(listed)
+            self._report_missing(now)
             self._on_change()
             return is_restored
         for change in page.changes:
@@ -205,8 +223,18 @@
             else:
                 directory.put(change.record)
                 self._context.stream_versions.record_replica(change.record)
+        self._report_missing(now)
         return False
 
+    def _report_missing(self, now):
+        """Report each replica whose entry is missing, once."""
+        directory = self._context.fleet.directory
+        missing = directory.missing
+        for replica_id in missing - self._reported_missing:
+            time_left = directory.find_grace_left(now).total_seconds()
+            self._context.observer.observe(ReplicaMissing(replica_id, time_left))
+        self._reported_missing = missing
+
     def _record_cold_replicas(self, page, is_full_list, is_restored):
         """Record what the entries that were adopted say of cold replicas."""
         directory = self._context.fleet.directory
@@ -272,9 +300,7 @@
     def _report_record_change(self, change):
         previous = self._context.fleet.directory.find(change.name)
         if change.record is None:
-            self._report_change(
-                change.name, "gone", "its entry in the store was removed"
-            )
+            self._report_removal(change)
         elif previous is None:
             self._report_change(
                 change.name, "new", "its entry in the store was written"
@@ -284,6 +310,13 @@
                 change.name, "leaving", "its entry in the store is marked as leaving"
             )
 
+    def _report_removal(self, change):
+        now = self._context.clock.monotonic()
+        if not self._context.fleet.directory.is_recovering(now):
+            self._report_change(
+                change.name, "gone", "its entry in the store was removed"
+            )
+
     def _report_change(self, replica, change, reason):
         self._context.observer.observe(ReplicaChanged(replica, change, reason))
 
--- a/libs/transport/src/balsamspoke_transport/logs.py
+++ b/libs/transport/src/balsamspoke_transport/logs.py
@@ -17,6 +17,7 @@
     RetryDecided,
     StreamResumed,
     TimersLate,
+    WatchFailed,
 )
 from loguru import logger
 
@@ -49,6 +50,7 @@
     DependencyLost: "WARNING",
     ProgramFailed: "ERROR",
     TimersLate: "WARNING",
+    WatchFailed: "WARNING",
 }
 
 
