--- a/libs/gateway/src/balsamspoke_gateway/entry.py
+++ b/libs/gateway/src/balsamspoke_gateway/entry.py
@@ -8,7 +8,7 @@
 from .configuration import CallerLimits
 from .forwarding.forwarding import Forwarding
 from .messages import EntryUsage, ReplicaLeaving, ReplicaState
-from .observing import PeersAhead, ReplicaChanged
+from .observing import PeersAhead
 from .peers.pacing import choose_interval
 from .store.view import StoreView
 
@@ -235,10 +235,6 @@
         # First, so that an error doesn't end the updates for good.
         context.clock.call_later(context.demand_interval, self._maintain_replicas)
         context.stream_versions.refresh()
-        now = context.clock.monotonic()
-        for replica_id in context.fleet.directory.expire(now):
-            reason = "still missing after the store recovered"
-            context.observer.observe(ReplicaChanged(replica_id, "gone", reason))
         context.fleet.remove_unlisted()
         context.drained_domains.maintain()
         context.rate_limiting.warmups.expire()
--- a/libs/gateway/src/balsamspoke_gateway/ports.py
+++ b/libs/gateway/src/balsamspoke_gateway/ports.py
@@ -161,3 +161,10 @@
     @abstractmethod
     def remove(self, name):
         """Remove the process of a VM (by name) from the list; return an awaitable."""
+
+    @abstractmethod
+    def probe(self):
+        """Read this process's own entry, to see an answer; return an awaitable.
+
+        It fails with StoreSilent if no answer comes in time on an open connection.
+        """
--- a/libs/gateway/src/balsamspoke_gateway/settings.py
+++ b/libs/gateway/src/balsamspoke_gateway/settings.py
@@ -41,6 +41,9 @@
         after the operator has drained it; None if operators don't drain domains.
     is_first_start : bool
         Whether the whole system starts for the first time.
+    heartbeat_interval : timedelta
+        Time between two writes of a replica's entry in the store. An entry expires
+        after three such intervals without a write.
     """
 
     vm: str
@@ -56,3 +59,4 @@
     quota_tolerance: QuotaTolerance = field(default_factory=QuotaTolerance)
     domain_drain_time: timedelta | None = None
     is_first_start: bool = False
+    heartbeat_interval: timedelta = timedelta(seconds=1.2)
--- a/libs/gateway/src/balsamspoke_gateway/store/view.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/view.py
@@ -19,6 +19,7 @@
 from ..peers.directory import PeerDirectory
 from ..peers.pacing import choose_interval, choose_lifetime
 from .following import Follower
+from .probing import StoreProber
 from .reachability import STORE, Reachability
 from .registration import EntryRegistration
 
@@ -31,13 +32,13 @@
 # Shortest time between two reads of the list of entry processes.
 ENTRY_POLL_INTERVAL = timedelta(seconds=2)
 
-# Seconds without the store in which no entry expires: replicas write theirs about once
-# a second, and they expire after three times that.
-MAX_HARMLESS_OUTAGE = 1.0
+# Intervals of the replicas' heartbeats in which no entry expires while the store is
+# away: the last heartbeat may be one interval older, and an entry expires after three.
+HARMLESS_HEARTBEATS = 1.5
 
-# Time within which the processes read a restored store again, so that they don't all do
-# so at the same moment.
-RESTORE_READ_SPREAD = timedelta(milliseconds=300)
+# Time within which the processes read the store again if it was restored or silent, so
+# that they don't all do so at the same moment.
+READ_SPREAD = timedelta(milliseconds=300)
 
 
 class StoreView:
@@ -79,6 +80,9 @@
         self._registration = EntryRegistration(
             context, registry, self.peers, self.reachability, self._list_peers
         )
+        self._prober = StoreProber(
+            context.clock, self.reachability, registry.probe, self._restart_followers
+        )
         self.era = 0
 
     def start(self):
@@ -106,6 +110,7 @@
                 "drained domains", source, self._apply_drained_domains, None
             )
             self._context.drained_domains.set_follower(follower)
+        self._run(self._prober.run())
 
     def record_peer_era(self, era):
         """Ask the store for its era if a peer tells of a later one."""
@@ -163,7 +168,7 @@
 
     def _restart_followers(self):
         for follower in self._followers:
-            follower.restart(RESTORE_READ_SPREAD * self._context.draw())
+            follower.restart(READ_SPREAD * self._context.draw())
 
     async def _list_peers(self):
         """Read the list of entry processes; return whether the store answered."""
@@ -177,11 +182,25 @@
         return True
 
     def _record_store_recovery(self):
+        context = self._context
         outage = self.reachability.last_outage
-        if outage is None or outage > MAX_HARMLESS_OUTAGE:
-            now = self._context.clock.monotonic()
-            self._context.fleet.directory.record_store_recovery(now)
-        self._context.stream_versions.record_recovery()
+        harmless_outage = HARMLESS_HEARTBEATS * context.settings.heartbeat_interval
+        if outage is None or outage > harmless_outage.total_seconds():
+            now = context.clock.monotonic()
+            context.fleet.directory.record_store_recovery(now)
+            self._schedule_expiry()
+        context.stream_versions.record_recovery()
+
+    def _schedule_expiry(self):
+        self._context.clock.call_later(RECOVERY_GRACE, self._expire_missing)
+
+    def _expire_missing(self):
+        """Remove the replicas whose entries are still missing after the grace."""
+        now = self._context.clock.monotonic()
+        for replica_id in self._context.fleet.directory.expire(now):
+            self._report_change(
+                replica_id, "gone", "still missing after the store recovered"
+            )
 
     def _apply_configurations(self, page, is_full_list):
         context = self._context
@@ -249,6 +268,7 @@
         self._replica_era = era
         if is_restored:
             directory.restore(records, now)
+            self._schedule_expiry()
         else:
             directory.replace_all(records, now)
         return is_restored
--- a/libs/gateway/tests/entry_world.py
+++ b/libs/gateway/tests/entry_world.py
@@ -14,7 +14,12 @@
     StoredRegister,
     VersionRegisterStore,
 )
-from balsamspoke_types.exceptions import StoreCutOff, StoreUnavailable, WatchExpired
+from balsamspoke_types.exceptions import (
+    StoreCutOff,
+    StoreSilent,
+    StoreUnavailable,
+    WatchExpired,
+)
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.python.failure import Failure
 
@@ -44,6 +49,8 @@
         Whether the register of versions can't be written.
     pending_lists : list of callable
         Called without arguments to answer such a list.
+    silences : int
+        Number of times that all open connections have gone silent for good.
     """
 
     def __init__(self):
@@ -61,6 +68,7 @@
         self.pollers = []
         self.silent_kinds = set()
         self.pending_lists = []
+        self.silences = 0
 
     @property
     def position(self):
@@ -114,6 +122,11 @@
         self.resume_polls()
         self.is_cutting = False
 
+    def silence_connections(self):
+        """Answer nothing more on the open connections, though new ones work."""
+        self.silences += 1
+        self.pollers = []
+
     def return_(self):
         """Become available again."""
         self.is_unavailable = False
@@ -179,12 +192,13 @@
 class WatchedSource(FakeSource):
     """Source whose polls end after a time, for a process that may be cut or paused."""
 
-    watch_time = seconds(3.8)
     answer_timeout = seconds(0.7)
+    default_watch_time = seconds(3.8)
 
-    def __init__(self, store, kind, world):
+    def __init__(self, store, kind, world, watch_time=None):
         super().__init__(store, kind)
         self.world = world
+        self.watch_time = watch_time or self.default_watch_time
 
     def list_all(self):
         if self.world.is_cut:
@@ -194,17 +208,19 @@
     def poll(self, position):
         answer = Deferred()
         clock = self.world.clock
+        silences = self.store.silences
 
         def deliver(result):
-            # An answer that meets a cut is lost.
-            if not self.world.is_cut and not answer.called:
+            # An answer that meets a cut is lost, and so is one on a silent connection.
+            is_lost = self.world.is_cut or self.store.silences != silences
+            if not is_lost and not answer.called:
                 answer.callback(result)
 
         super().poll(position).addBoth(
             lambda result: clock.run_or_defer(deliver, result)
         )
         clock.call_later(self.watch_time, deliver, RecordPage((), position))
-        overdue = Failure(StoreUnavailable("no answer"))
+        overdue = Failure(StoreSilent("no answer"))
         timeout = self.watch_time + self.answer_timeout
         clock.call_later(timeout, self._fail, answer, overdue)
         return answer
@@ -218,9 +234,13 @@
 class FakeRegistry(EntryRegistry):
     """List of entry processes in a FakeStore, for the process at an IP address."""
 
-    def __init__(self, store, ip):
+    answer_timeout = seconds(0.7)
+
+    def __init__(self, store, ip, clock):
         self.store = store
         self.ip = ip
+        self._clock = clock
+        self._silences = 0
 
     def register(self):
         if self.store.is_unavailable:
@@ -234,6 +254,20 @@
         self.store.write("entries", name, None)
         return succeed(None)
 
+    def probe(self):
+        if self.store.is_unavailable:
+            return fail(StoreUnavailable("the store is unavailable"))
+        if self._silences is None:
+            self._silences = self.store.silences
+        if self._silences == self.store.silences:
+            return succeed(None)
+        # The call after a silent one opens a new connection.
+        self._silences = None
+        overdue = Deferred()
+        error = Failure(StoreSilent("no answer"))
+        self._clock.call_later(self.answer_timeout, overdue.errback, error)
+        return overdue
+
 
 class FakeQuarantineStore(QuarantineStore):
     """Quarantine in a FakeStore."""
@@ -291,6 +325,9 @@
         Store to share with other processes; None for one of its own.
     started : int
         Identifies this start of the process.
+    watch_times : dict or None
+        Time (timedelta) after which a watch ends without changes, by kind; None for
+        watches without an end.
     **others
         Parameters of World.
 
@@ -300,7 +337,7 @@
         Whether this process has no path to the drain requests in the store.
     """
 
-    def __init__(self, store=None, started=1, **others):
+    def __init__(self, store=None, started=1, watch_times=None, **others):
         super().__init__(age=0.0, **others)
         self.context.configuration = None
         self.context.standing = Standing()
@@ -310,12 +347,12 @@
         has_drains = self.context.settings.domain_drain_time is not None
         sources = EntrySources(
             *(
-                FakeSource(self.store, kind)
+                self._make_source(kind, watch_times)
                 for kind in ("configurations", "replicas", "versions", "entries")
             ),
             WatchedSource(self.store, "drain requests", self) if has_drains else None,
         )
-        registry = FakeRegistry(self.store, self.context.settings.ip)
+        registry = FakeRegistry(self.store, self.context.settings.ip, self.clock)
         self.core = EntryCore(
             self.context,
             sources,
@@ -325,6 +362,11 @@
             started,
         )
 
+    def _make_source(self, kind, watch_times):
+        if watch_times is None:
+            return FakeSource(self.store, kind)
+        return WatchedSource(self.store, kind, self, watch_times[kind])
+
     def forward(self, request, sink):
         """Let the core handle a CallerRequest; return a Deferred that cancels it."""
         return self.core.handle(request, sink)
--- a/libs/transport/src/balsamspoke_transport/calls.py
+++ b/libs/transport/src/balsamspoke_transport/calls.py
@@ -4,7 +4,7 @@
 
 from balsamspoke_types.timing import add_timeout
 
-from .exceptions import ReplyBroken
+from .exceptions import ReplyBroken, ReplyOverdue
 from .http_requests import BufferedResponse, HttpRequest
 
 # Longest body, and longest time from its first to its last piece. A server that never
@@ -54,8 +54,10 @@
         ------
         ConnectionFailed
             If no connection could be made; nothing was sent.
+        ReplyOverdue
+            If the server does not respond in time.
         ReplyBroken
-            If the response is late, incomplete, malformed or too long.
+            If the response is incomplete, malformed or too long.
         """
         fields = [(b"Host", self._host)]
         if body:
@@ -89,5 +91,5 @@
                 raise ReplyBroken(f"the response exceeds {MAX_RESPONSE_BYTES} bytes")
 
     def _limit(self, reading, timeout):
-        error = ReplyBroken("timed out waiting for the response")
+        error = ReplyOverdue("timed out waiting for the response")
         return add_timeout(reading, self._clock, timeout, error)
--- a/libs/transport/src/balsamspoke_transport/exceptions.py
+++ b/libs/transport/src/balsamspoke_transport/exceptions.py
@@ -13,5 +13,9 @@
     """No complete, valid response was received; the request may have run."""
 
 
+class ReplyOverdue(ReplyBroken):
+    """The server did not respond in time on an open connection."""
+
+
 class ReplyCutOff(ReplyBroken):
     """The server closed the connection in good order before the response's end."""
--- a/libs/types/src/balsamspoke_types/exceptions.py
+++ b/libs/types/src/balsamspoke_types/exceptions.py
@@ -21,6 +21,10 @@
     """The object API closed the connection in good order before its answer's end."""
 
 
+class StoreSilent(StoreUnavailable):
+    """The object API did not answer in time on a connection that stayed open."""
+
+
 class WriteOutcomeUnknown(StoreError):
     """A write was sent but its answer was lost; it may have taken effect."""
 
