--- a/libs/gateway/src/balsamspoke_gateway/settings.py
+++ b/libs/gateway/src/balsamspoke_gateway/settings.py
@@ -44,6 +44,8 @@
     heartbeat_interval : timedelta
         Time between two writes of a replica's entry in the store. An entry expires
         after three such intervals without a write.
+    calm_time : timedelta
+        Time without disturbances after which the bounds hold again.
     """
 
     vm: str
@@ -60,3 +62,4 @@
     domain_drain_time: timedelta | None = None
     is_first_start: bool = False
     heartbeat_interval: timedelta = timedelta(seconds=1.2)
+    calm_time: timedelta = timedelta(seconds=3)
--- a/libs/gateway/src/balsamspoke_gateway/store/view.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/view.py
@@ -22,15 +22,11 @@
 from .probing import StoreProber
 from .reachability import STORE, Reachability
 from .registration import EntryRegistration
-
-# Shortest time between two reads of replica changes, as a fraction of ``drain_time``,
-# the time to stop sending to a leaving replica. Each replica writes about once a
-# second, and each read is billed.
-REPLICA_POLL_RATIO = 0.4
-# Shortest time between two reads of announced adapter versions.
-VERSION_POLL_INTERVAL = timedelta(milliseconds=500)
-# Shortest time between two reads of the list of entry processes.
-ENTRY_POLL_INTERVAL = timedelta(seconds=2)
+from .watch_times import (
+    ENTRY_POLL_INTERVAL,
+    REPLICA_POLL_RATIO,
+    VERSION_POLL_INTERVAL,
+)
 
 # Intervals of the replicas' heartbeats in which no entry expires while the store is
 # away: the last heartbeat may be one interval older, and an entry expires after three.
--- a/libs/gateway/tests/entry_world.py
+++ b/libs/gateway/tests/entry_world.py
@@ -9,6 +9,7 @@
 from balsamspoke_gateway.store.following import RecordChange, RecordPage, StorePosition
 from balsamspoke_gateway.store.records import EntrySources
 from balsamspoke_gateway.store.startup import StartupGate
+from balsamspoke_gateway.store.watch_times import make_watch_times
 from balsamspoke_gateway.stream_versions import (
     RegisterConflict,
     StoredRegister,
@@ -50,7 +51,9 @@
     pending_lists : list of callable
         Called without arguments to answer such a list.
     silences : int
-        Number of times that all open connections have gone silent for good.
+        Number of times that open connections have gone silent for good.
+    spared_silences : int
+        How many of these have spared the connections that wait for no change.
     """
 
     def __init__(self):
@@ -69,6 +72,7 @@
         self.silent_kinds = set()
         self.pending_lists = []
         self.silences = 0
+        self.spared_silences = 0
 
     @property
     def position(self):
@@ -122,9 +126,16 @@
         self.resume_polls()
         self.is_cutting = False
 
-    def silence_connections(self):
-        """Answer nothing more on the open connections, though new ones work."""
+    def silence_connections(self, spares_probes=False):
+        """Answer nothing more on the open connections, though new ones work.
+
+        Parameters
+        ----------
+        spares_probes : bool
+            Whether those go on that wait for no change.
+        """
         self.silences += 1
+        self.spared_silences += spares_probes
         self.pollers = []
 
     def return_(self):
@@ -257,9 +268,10 @@
     def probe(self):
         if self.store.is_unavailable:
             return fail(StoreUnavailable("the store is unavailable"))
+        silences = self.store.silences - self.store.spared_silences
         if self._silences is None:
-            self._silences = self.store.silences
-        if self._silences == self.store.silences:
+            self._silences = silences
+        if self._silences == silences:
             return succeed(None)
         # The call after a silent one opens a new connection.
         self._silences = None
@@ -325,9 +337,8 @@
         Store to share with other processes; None for one of its own.
     started : int
         Identifies this start of the process.
-    watch_times : dict or None
-        Time (timedelta) after which a watch ends without changes, by kind; None for
-        watches without an end.
+    has_watch_times : bool
+        Whether watches end without changes after the times that its settings lead to.
     **others
         Parameters of World.
 
@@ -337,7 +348,7 @@
         Whether this process has no path to the drain requests in the store.
     """
 
-    def __init__(self, store=None, started=1, watch_times=None, **others):
+    def __init__(self, store=None, started=1, has_watch_times=False, **others):
         super().__init__(age=0.0, **others)
         self.context.configuration = None
         self.context.standing = Standing()
@@ -347,7 +358,7 @@
         has_drains = self.context.settings.domain_drain_time is not None
         sources = EntrySources(
             *(
-                self._make_source(kind, watch_times)
+                self._make_source(kind, has_watch_times)
                 for kind in ("configurations", "replicas", "versions", "entries")
             ),
             WatchedSource(self.store, "drain requests", self) if has_drains else None,
@@ -362,10 +373,11 @@
             started,
         )
 
-    def _make_source(self, kind, watch_times):
-        if watch_times is None:
+    def _make_source(self, kind, has_watch_times):
+        if not has_watch_times:
             return FakeSource(self.store, kind)
-        return WatchedSource(self.store, kind, self, watch_times[kind])
+        times = make_watch_times(self.context.settings)
+        return WatchedSource(self.store, kind, self, getattr(times, kind))
 
     def forward(self, request, sink):
         """Let the core handle a CallerRequest; return a Deferred that cancels it."""
--- a/libs/gateway/tests/test_silent_connections.py
+++ b/libs/gateway/tests/test_silent_connections.py
@@ -1,29 +1,40 @@
 import unittest
+from datetime import timedelta
 
 from balsamspoke_fakes.properties import examples
+from balsamspoke_gateway.settings import GatewaySettings
+from balsamspoke_gateway.store.watch_times import (
+    MIN_WATCH_TIME,
+    REPLICA_POLL_RATIO,
+    VERSION_POLL_INTERVAL,
+    make_watch_times,
+)
 from hypothesis import given
 from hypothesis import strategies as st
 
 from .entry_world import EntryWorld
 from .world import make_record, seconds
 
-WATCH_TIMES = {
-    "configurations": seconds(3.8),
-    "replicas": seconds(3.8),
-    "versions": seconds(6.8),
-    "entries": seconds(18.8),
-}
 # Bounds of the deployment, in seconds.
 CALM_SECONDS = 3.0
 DRAIN_SECONDS = 2.0
 HEARTBEAT_SECONDS = 1.2
 
 
+# Time to notice that the answer to a watch is overdue: its time limit, the backoff and
+# a list that is answered in its own limit.
+OVERDUE_SECONDS = 0.7
+BACKOFF_SECONDS = 0.15
+LIST_SECONDS = 0.3
+
+milliseconds = st.integers(500, 20_000).map(lambda number: timedelta(0, 0, 0, number))
+
+
 class SilentConnectionTests(unittest.TestCase):
-    """Connections to the store that go silent for good, all at once."""
+    """Connections to the store that go silent for good."""
 
     def setUp(self):
-        self.world = EntryWorld(watch_times=WATCH_TIMES)
+        self.world = EntryWorld(has_watch_times=True)
         self.store = self.world.store
         self.now = 0.0
         self.world.configure(1)
@@ -91,6 +102,22 @@
         self.pass_until(due)
         self.assertEqual(self.world.list_replica_ids(), ["a", "b"])
 
+    # The pause after a change was no part of the time in which a silence is noticed.
+    def test_a_draining_replica_is_known_in_time_if_its_watch_alone_falls_silent(self):
+        for phase in range(12):
+            with self.subTest(phase=phase):
+                self.setUp()
+                self.change_adapter("a", 2)
+                silent_at = 6 + phase / 10
+                self.pass_until(silent_at)
+                self.store.silence_connections(spares_probes=True)
+                self.pass_until(silent_at + 0.1)
+                leaving = make_record("c", number=3, is_leaving=True)
+                self.store.write("replicas", "c", leaving)
+                self.pass_until(silent_at + CALM_SECONDS)
+                listed = self.world.context.fleet.directory.list_service("plain")
+                self.assertEqual(sorted(each.id for each in listed), ["a", "b"])
+
     def test_entries_that_may_have_expired_in_an_outage_stay_for_the_grace(self):
         self.store.go_away()
         for name in "abc":
@@ -101,5 +128,34 @@
         self.assertEqual(self.world.list_replica_ids(), ["a", "b", "c"])
 
 
+class WatchTimeTests(unittest.TestCase):
+    @given(milliseconds, milliseconds, milliseconds, milliseconds)
+    @examples(200)
+    def test_no_order_of_change_pause_and_silence_passes_the_bounds(
+        self, calm, drain, configuration, version
+    ):
+        settings = GatewaySettings(
+            "vm",
+            "10.0.1.1",
+            "north",
+            drain_time=drain,
+            configuration_time=configuration,
+            version_time=version,
+            calm_time=calm,
+        )
+        times = make_watch_times(settings)
+        noticed = seconds(OVERDUE_SECONDS + BACKOFF_SECONDS + LIST_SECONDS)
+        for watch_time, bound, pause_after in (
+            (times.configurations, configuration, seconds(0)),
+            (times.replicas, drain, REPLICA_POLL_RATIO * drain),
+            (times.versions, version, VERSION_POLL_INTERVAL),
+        ):
+            due = max(bound, calm)
+            # Shorter bounds than these can't be kept by any watch.
+            if due >= pause_after + noticed + MIN_WATCH_TIME + seconds(0.1):
+                self.assertLessEqual(pause_after + watch_time + noticed, due)
+            self.assertGreaterEqual(watch_time, MIN_WATCH_TIME)
+
+
 if __name__ == "__main__":
     unittest.main()
