--- a/libs/transport/src/balsamspoke_transport/calls.py
+++ b/libs/transport/src/balsamspoke_transport/calls.py
@@ -67,6 +67,10 @@
         try:
             head = await self._limit(exchange.read_head(), head_timeout)
             body = await self._read_body(exchange, piece_timeout)
+        except ReplyOverdue:
+            # The others may have gone silent with this one.
+            self._pool.close_idle(self._endpoint)
+            raise
         finally:
             exchange.abort()
         return BufferedResponse(head, body)
--- a/libs/transport/src/balsamspoke_transport/pool.py
+++ b/libs/transport/src/balsamspoke_transport/pool.py
@@ -49,6 +49,11 @@
             self._connect(endpoint, exchange)
         return exchange
 
+    def close_idle(self, endpoint):
+        """Close all connections to an Endpoint that have no open exchange."""
+        for connection in self._idle_connections.pop(endpoint, []):
+            connection.abort_connection()
+
     def is_refusing(self, endpoint):
         """Return a Deferred of whether an Endpoint refuses a new connection.
 
--- a/libs/transport/tests/test_calls.py
+++ b/libs/transport/tests/test_calls.py
@@ -1,15 +1,19 @@
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 from balsamspoke_fakes import VirtualClock, VirtualTime
+from balsamspoke_transport import connections
 from balsamspoke_transport.calls import (
     MAX_RESPONSE_BYTES,
     MAX_RESPONSE_TIME,
     BufferedHttpClient,
 )
-from balsamspoke_transport.exceptions import ReplyBroken
+from balsamspoke_transport.exceptions import ReplyBroken, ReplyOverdue
 from balsamspoke_transport.http_requests import Endpoint, HttpHead
+from balsamspoke_transport.pool import ConnectionPool
 from twisted.internet.defer import Deferred, succeed
+from twisted.internet.testing import MemoryReactor, StringTransport
 
 SECOND = timedelta(seconds=1)
 
@@ -51,6 +55,47 @@
         return super().call_later(late, function, *arguments)
 
 
+class SilentConnectionTests(unittest.TestCase):
+    HEAD = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\nContent-Length: 2\r\n\r\n"
+
+    def setUp(self):
+        patch = mock.patch.object(connections, "enable_keepalive")
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.time = VirtualTime()
+        clock = VirtualClock(self.time)
+        self.reactor = MemoryReactor()
+        pool = ConnectionPool(self.reactor, clock, b"request-id")
+        self.client = BufferedHttpClient(pool, Endpoint("10.0.0.1", 80), clock)
+        self.transports = []
+        self.errors = []
+
+    def call(self):
+        """Begin a call, and establish the connection that it opens, if it does."""
+        calling = self.client.call(b"GET", b"/", b"", SECOND, SECOND)
+        Deferred.fromCoroutine(calling).addErrback(self.errors.append)
+        for _, _, factory, *_ in self.reactor.tcpClients[len(self.transports) :]:
+            protocol = factory.buildProtocol(None)
+            transport = StringTransport()
+            self.transports.append(transport)
+            protocol.makeConnection(transport)
+            transport.protocol = protocol
+
+    # Each call after a silence took another connection that had gone silent with it.
+    def test_a_call_after_a_silent_one_uses_a_new_connection(self):
+        for _ in range(3):
+            self.call()
+        for transport in self.transports:
+            transport.protocol.dataReceived(self.HEAD + b"{}")
+        self.call()
+        self.assertEqual(len(self.transports), 3)
+        self.time.advance(SECOND)
+        self.assertIsNotNone(self.errors[0].check(ReplyOverdue))
+        self.assertTrue(all(each.disconnected for each in self.transports))
+        self.call()
+        self.assertEqual(len(self.transports), 4)
+
+
 class EndlessResponseTests(unittest.TestCase):
     def call(self, piece, interval, clock_type=VirtualClock):
         """Read an endless response for a while; return its exchange and the errors."""
