--- a/libs/transport/src/balsamspoke_transport/callers.py
+++ b/libs/transport/src/balsamspoke_transport/callers.py
@@ -9,6 +9,7 @@
 from .caller_exchanges import CallerExchange
 from .clock import ReactorClock
 from .keepalive import enable_keepalive
+from .send_monitor import SendMonitor
 from .turns import TurnQueue
 
 # Unsent bytes of one connection beyond which its caller counts as slow. Well above one
@@ -52,6 +53,8 @@
         The open connections.
     turns : TurnQueue
         Resumes the connections that have more work than a turn may hold.
+    send_monitor : SendMonitor
+        Tells whether callers have got what was written to them.
     """
 
     noisy = False
@@ -75,7 +78,9 @@
         self.is_closing = is_closing
         self.budget = budget or BufferBudget()
         self._on_dropped = on_dropped
-        self.turns = TurnQueue(ReactorClock(reactor))
+        clock = ReactorClock(reactor)
+        self.turns = TurnQueue(clock)
+        self.send_monitor = SendMonitor(clock)
         self.channels = set()
 
     def buildProtocol(self, address):
@@ -135,6 +140,7 @@
         self._is_handling = False
         # Whether the rest is parsed in a later turn.
         self._is_deferred = False
+        self._is_closing = False
         self.is_full = False
         self.limits = None
 
@@ -151,6 +157,7 @@
         """Remove the connection from the factory."""
         self._unparsed.clear()
         self._factory.channels.discard(self)
+        self._factory.send_monitor.remove(self)
         self._factory.budget.release_body(self)
         self._factory.budget.release_unsent(self)
         super().connectionLost(reason)
@@ -161,6 +168,7 @@
 
     def record_written(self, size):
         """Count bytes of a response, if the caller doesn't keep up with them."""
+        self._factory.send_monitor.add(self)
         if self.is_full:
             now = self._factory.read_clock()
             self._factory.budget.record_unsent(self, size, now)
@@ -245,7 +253,7 @@
 
     def _parse(self, size):
         """Parse some bytes; the first one of a request starts the header timeout."""
-        if self.transport.disconnecting:
+        if self._is_closing or self.transport.disconnecting:
             self._unparsed.clear()
         data = bytes(self._unparsed[:size])
         if not data or self._is_handling:
@@ -273,6 +281,17 @@
             self.transport.write(_TIMEOUT_RESPONSE)
         super().timeoutConnection()
 
+    def loseConnection(self):
+        """Close the connection once the caller has got what was written to it.
+
+        The kernel would go on to send the rest by itself, but only for as long as its
+        time limit lets the caller pause.
+        """
+        if not self._is_closing:
+            self._is_closing = True
+            self.setTimeout(self.limits.idle_timeout.total_seconds())
+            self._factory.send_monitor.call_when_sent(self, super().loseConnection)
+
     def abortConnection(self):
         """Close the connection at once, discarding unsent data."""
         self.transport.abortConnection()
--- a/libs/transport/src/balsamspoke_transport/connections.py
+++ b/libs/transport/src/balsamspoke_transport/connections.py
@@ -38,6 +38,8 @@
         Measures how long the connection has been idle.
     turns : TurnQueue
         Resumes the connections that have more work than a turn may hold.
+    send_monitor : SendMonitor
+        Tells whether the server has got the requests.
     on_idle : callable
         Called with this connection when it can be used for another request.
     on_closed : callable
@@ -49,9 +51,10 @@
         Whether the connection is closed or being closed.
     """
 
-    def __init__(self, clock, turns, on_idle, on_closed):
+    def __init__(self, clock, turns, send_monitor, on_idle, on_closed):
         self._clock = clock
         self._turns = turns
+        self._send_monitor = send_monitor
         self._on_idle = on_idle
         self._on_closed = on_closed
         self._exchange = None
@@ -102,6 +105,7 @@
             exchange.handle_failure(RequestMalformed(str(error)))
             return
         self.transport.writeSequence(encoded)
+        self._send_monitor.add(self)
 
     def abort_connection(self):
         """Close the connection at once, without notifying an open exchange."""
@@ -127,6 +131,7 @@
     def connectionLost(self, reason):
         """End the open exchange; a clean close may complete its response."""
         self.is_closed = True
+        self._send_monitor.remove(self)
         if reason.check(ConnectionDone):
             self._failure_type = ReplyCutOff
             if self._exchange is not None:
--- a/libs/transport/src/balsamspoke_transport/pool.py
+++ b/libs/transport/src/balsamspoke_transport/pool.py
@@ -10,6 +10,7 @@
 from .connections import HttpConnection
 from .exceptions import ConnectionFailed
 from .exchanges import HttpExchange
+from .send_monitor import SendMonitor
 from .turns import TurnQueue
 
 # Within a region a connection is established in a few milliseconds.
@@ -37,6 +38,7 @@
         self._id_header = id_header
         self._connect_timeout = connect_timeout
         self._turns = TurnQueue(clock)
+        self._send_monitor = SendMonitor(clock)
         self._idle_connections = {}
 
     def send(self, endpoint, request):
@@ -86,7 +88,9 @@
                 idle.remove(connection)
 
         factory = _ConnectionFactory(
-            lambda: HttpConnection(self._clock, self._turns, add_idle, remove_idle)
+            lambda: HttpConnection(
+                self._clock, self._turns, self._send_monitor, add_idle, remove_idle
+            )
         )
         connector = self._connect_to(endpoint, factory)
         connected = factory.connected
--- a/libs/transport/tests/test_connections.py
+++ b/libs/transport/tests/test_connections.py
@@ -12,6 +12,7 @@
 )
 from balsamspoke_transport.exchanges import HttpExchange
 from balsamspoke_transport.http_requests import HttpRequest
+from balsamspoke_transport.send_monitor import SendMonitor
 from balsamspoke_transport.turns import MAX_CONNECTIONS_PER_TURN, TurnQueue
 from hypothesis import given
 from hypothesis import strategies as st
@@ -54,7 +55,11 @@
         self.idle = []
         clock = VirtualClock(self.time)
         self.connection = HttpConnection(
-            clock, TurnQueue(clock), self.idle.append, lambda _: None
+            clock,
+            TurnQueue(clock),
+            SendMonitor(clock),
+            self.idle.append,
+            lambda _: None,
         )
         self.transport = FakeTransport()
         self.connection.makeConnection(self.transport)
