--- a/libs/gateway/src/balsamspoke_gateway/quarantine/evidence.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/evidence.py
@@ -3,7 +3,9 @@
 from collections import deque
 from dataclasses import dataclass
 from datetime import timedelta
-from itertools import combinations
+
+from .comparison import CrashComparison
+from .part_sets import list_largest
 
 # Crashes, each with another request, that make the parts they share a possible cause,
 # and the cause if no other parts explain as many.
@@ -102,31 +104,23 @@
             least ``MIN_CRASHES`` crashes that no other cause explains, or of
             ``MIN_BROAD_CRASHES`` if it is broad.
         """
-        common = self._list_common_parts()
-        candidates = {each for each in common if not shares.is_ubiquitous(each)}
-        causes = list(known_causes)
-        crashes = {each: self._find_crashes(each) for each in candidates.union(causes)}
+        comparison = CrashComparison(self._suspicions)
+        numbers = comparison.numbers
+        counted = shares.count(numbers)
+        for each in known_causes:
+            comparison.add_cause(numbers.encode(each))
         found = []
         while True:
-            counts = _count_explained(candidates, crashes, causes)
-            best, count = _choose_best(counts, shares)
+            groups = comparison.group_by_count()
+            best, count = _choose_best(comparison, groups, counted)
             if count < MIN_CRASHES:
                 return found
-            causes += best
-            is_certain = count >= CERTAIN_CRASHES and not _has_rivals(best, counts)
-            found += [CrashCause(parts, is_certain) for parts in best]
-
-    def _list_common_parts(self):
-        """Return the sets of parts that requests of different crashes share."""
-        common = set()
-        for first, second in combinations(self._suspicions, 2):
-            if first.crash != second.crash and first.request != second.request:
-                common.add(first.parts & second.parts)
-        common.discard(frozenset())
-        return common
-
-    def _find_crashes(self, parts):
-        return {each.crash for each in self._suspicions if parts <= each.parts}
+            is_certain = count >= CERTAIN_CRASHES and not _has_rivals(
+                comparison, groups, best, count, counted
+            )
+            for parts in best:
+                comparison.add_cause(parts)
+                found.append(CrashCause(numbers.decode(parts), is_certain))
 
     def _expire(self, now):
         suspicions = self._suspicions
@@ -136,60 +130,40 @@
             suspicions.popleft()
 
 
-def _count_explained(candidates, crashes, causes):
-    """Return the number of crashes that a candidate explains and no cause does.
+def _choose_best(comparison, groups, shares):
+    """Return the candidates that explain most crashes, and their number.
 
     Parameters
     ----------
-    candidates : set of frozenset
-        Sets of parts.
-    crashes : dict
-        Crashes at which requests with a set of parts ran, by the set.
-    causes : list of frozenset
-        Sets that are taken for causes already.
-
-    Returns
-    -------
-    dict
-        The numbers by candidate; those that a cause covers are left out.
+    comparison : CrashComparison
+        Holds the candidates.
+    groups : list of int
+        Their masks by the number of crashes that they explain.
+    shares : CountedShares
+        Tells how many prompts have a set of parts.
     """
-    counts = {}
-    for parts in candidates:
-        if any(cause <= parts for cause in causes):
-            continue
-        larger = [cause for cause in causes if parts < cause]
-        if any(crashes[parts] <= crashes[cause] for cause in larger):
-            continue
-        # A cause with further parts is a less general explanation.
-        explained = [crashes[each] for each in causes if each not in larger]
-        counts[parts] = len(crashes[parts].difference(*explained))
-    return counts
-
-
-def _choose_best(counts, shares):
-    """Return the candidates that explain most crashes, and their number."""
-    allowed = {
-        parts: count
-        for parts, count in counts.items()
-        if count >= MIN_BROAD_CRASHES or not shares.is_broad(parts)
-    }
-    most = max(allowed.values(), default=0)
-    best = [parts for parts, count in allowed.items() if count == most]
-    # Of sets that explain the same, the largest refuses the fewest requests.
-    best = [each for each in best if not any(each < other for other in best)]
-    return best, most
-
-
-def _has_rivals(best, counts):
+    for count in range(len(groups) - 1, MIN_CRASHES - 1, -1):
+        is_too_common = (
+            shares.is_ubiquitous if count >= MIN_BROAD_CRASHES else shares.is_broad
+        )
+        sets = comparison.select(groups[count])
+        best = [parts for parts in sets if not is_too_common(parts)]
+        if best:
+            # Of sets that explain the same, the largest refuses the fewest requests.
+            return list_largest(best), count
+    return [], 0
+
+
+def _has_rivals(comparison, groups, best, count, shares):
     """Return whether other sets explain as many crashes as the best candidates.
 
     Broad sets count, too, that are no cause yet: while processes start, a set may be in
     the requests of each crash by chance beside one that many prompts have.
     """
-    most = counts[best[0]]
-    rivals = [
-        parts
-        for parts, count in counts.items()
-        if count >= most and not any(parts <= each for each in best)
-    ]
-    return len(best) > 1 or bool(rivals)
+    if len(best) > 1:
+        return True
+    rivals = 0
+    for mask in groups[count:]:
+        rivals |= mask
+    rivals &= ~comparison.find_subsets(best[0])
+    return not all(map(shares.is_ubiquitous, comparison.select(rivals)))
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/shares.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/shares.py
@@ -2,6 +2,8 @@
 
 from collections import deque
 
+from .part_sets import SetCollection
+
 # Recent prompts that are counted.
 SAMPLE_SIZE = 200
 # A set of parts that at least this fraction of the prompts have is broad.
@@ -28,17 +30,44 @@
         """Record the shared parts (by id) of a prompt."""
         self._prompts.append(frozenset(part_ids))
 
+    def count(self, numbers):
+        """Return the CountedShares of the prompts so far.
+
+        Parameters
+        ----------
+        numbers : PartNumbers
+            Bits of the parts that are asked for.
+        """
+        prompts = [numbers.encode_known(each) for each in self._prompts]
+        return CountedShares(SetCollection(prompts), len(prompts))
+
+
+class CountedShares:
+    """How many prompts have a set of parts.
+
+    Parameters
+    ----------
+    prompts : SetCollection
+        The parts of each prompt.
+    size : int
+        Number of prompts.
+    """
+
+    def __init__(self, prompts, size):
+        self._prompts = prompts
+        self._size = size
+
     def is_broad(self, parts):
-        """Return whether many prompts have all parts of a set.
+        """Return whether many prompts have all parts of a set (an integer).
 
         With few prompts the share is not known well, so more sets count as broad.
         """
         return self._estimate_share(parts) >= BROAD_SHARE
 
     def is_ubiquitous(self, parts):
-        """Return whether nearly all prompts have all parts of a set."""
+        """Return whether nearly all prompts have all parts of a set (an integer)."""
         return self._estimate_share(parts) >= UBIQUITOUS_SHARE
 
     def _estimate_share(self, parts):
-        count = sum(parts <= prompt for prompt in self._prompts) + PRIOR_COUNT
-        return count / (len(self._prompts) + PRIOR_COUNT)
+        count = self._prompts.find_supersets(parts).bit_count() + PRIOR_COUNT
+        return count / (self._size + PRIOR_COUNT)
