--- a/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/coordinator.py
@@ -10,7 +10,7 @@
 from .crash_detection import CrashDetector
 from .messages import AnsweredParts, CrashReport, CrashSuspect, QuarantineUpdate
 from .quarantine import PromptQuarantine
-from .reports import CrashReportBatch
+from .reports import CrashReportBatch, ReceivedReports
 from .storage import QuarantineStorage
 
 # Interval at which the quarantine is sent to a peer chosen at random: to those that
@@ -60,6 +60,7 @@
         self._last_crash = None
         self._unstored = []
         self._reports = CrashReportBatch(self._clock, context.send_to_peers)
+        self._received = ReceivedReports(self._clock, self._judge, context.report_bug)
 
     def start(self, store, on_store_error):
         """Start to share the quarantine, and to keep it in the store.
@@ -141,12 +142,12 @@
             )
         )
         if report.suspects:
-            self._report_crash(report)
+            await self._report_crash(report)
 
     def receive(self, ip, message):
         """Process a message of a peer; return whether it concerns the quarantine."""
         if isinstance(message, CrashReport):
-            self._spread(self._record_report(message))
+            self._received.add(message, is_own=False)
             parts = {part for each in message.suspects for part in each.parts}
             parts |= {each.request for each in message.suspects}
             self._reply_with_answered(ip, parts)
@@ -166,28 +167,31 @@
             self._storage.rewrite()
 
     def _report_crash(self, report):
-        now = self._last_crash = self._clock.monotonic()
+        """Report a crash to the peers; return a Deferred of its judgement."""
+        self._last_crash = self._clock.monotonic()
         for suspect in report.suspects:
             self._remember_reported((suspect.request, *suspect.parts))
         self._reports.add(report)
-        entries = self._record_report(report)
-        if not entries:
-            return
-        update = QuarantineUpdate(self._quarantine.make_messages(now))
-        self._context.send_to_peers(update)
-        self._unstored += entries
-        self._store_entries(now)
+        return self._received.add(report, is_own=True)
+
+    def _judge(self, reports, has_own):
+        """Judge the CrashReports that came together, of this process or of peers."""
+        now = self._clock.monotonic()
+        entries = self._quarantine.record_crashes(reports, now)
+        self._announce(entries, OWN_CRASHES)
+        if not has_own:
+            self._spread(entries)
+        elif entries:
+            update = QuarantineUpdate(self._quarantine.make_messages(now))
+            self._context.send_to_peers(update)
+            self._unstored += entries
+            self._store_entries(now)
 
     def _remember_reported(self, parts):
         if len(self._reported_parts) > MAX_REPORTED_PARTS:
             self._reported_parts.clear()
         self._reported_parts.update(parts)
 
-    def _record_report(self, report):
-        entries = self._quarantine.record_crash(report, self._clock.monotonic())
-        self._announce(entries, OWN_CRASHES)
-        return entries
-
     def _adopt(self, messages, reason):
         entries = self._quarantine.adopt(messages, self._clock.monotonic())
         self._announce(entries, reason)
--- a/libs/gateway/src/balsamspoke_gateway/quarantine/quarantine.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/quarantine.py
@@ -101,18 +101,23 @@
         """Return whether a request ran at a crash before."""
         return self._repeats.is_suspected(fingerprint)
 
-    def record_crash(self, report, now):
-        """Record the suspects of a CrashReport.
+    def record_crashes(self, reports, now):
+        """Record the suspects of CrashReports, and compare them with all others.
 
         Returns
         -------
         list of Quarantined
             What is in quarantine from now on, or certain from now on.
         """
-        report = self.select_suspects(report, now)
-        causes = self._find_repeats(report, now)
-        if any(each.parts for each in report.suspects):
-            self._evidence.add(report, now)
+        causes = []
+        has_new_parts = False
+        for each in reports:
+            report = self.select_suspects(each, now)
+            causes += self._find_repeats(report, now)
+            if any(suspect.parts for suspect in report.suspects):
+                self._evidence.add(report, now)
+                has_new_parts = True
+        if has_new_parts:
             causes += self._find_common_causes(now)
         return self._add_causes(causes, now)
 
--- a/libs/gateway/tests/test_quarantine.py
+++ b/libs/gateway/tests/test_quarantine.py
@@ -2,6 +2,7 @@
 from datetime import timedelta
 from unittest import mock
 
+from balsamspoke_fakes import VirtualClock, VirtualTime
 from balsamspoke_gateway.exceptions import (
     ConnectionLost,
     OutcomeUnknown,
@@ -17,6 +18,8 @@
     QuarantineStorage,
     QuarantineUpdate,
 )
+from balsamspoke_gateway.quarantine.evidence import CrashEvidence
+from balsamspoke_gateway.quarantine.reports import ReceivedReports
 from balsamspoke_gateway.requests import AdapterName, Prompt, PromptPart
 from twisted.internet.defer import Deferred, succeed
 
@@ -34,6 +37,54 @@
     return QuarantineUpdate((QuarantineEntry(("part",), seconds_left),))
 
 
+class LoadedReplicaTests(unittest.TestCase):
+    """Replicas that crash with many requests on them."""
+
+    REQUESTS = 60
+
+    def setUp(self):
+        self.world = World()
+        self.records = [
+            make_record(name, "engines", number) for number, name in enumerate("ab", 1)
+        ]
+        self.world.add(*self.records)
+        for record in self.records:
+            self.world.tell_state(record, {})
+        self.world.client.is_refusing = lambda record: succeed(True)
+
+    # Each request of a crash judged all suspects anew, in one turn of the event loop.
+    def test_a_crash_is_judged_once_whatever_ran_at_the_replica(self):
+        silent = Answer(pieces=(), goes_silent=True)
+        for name in "ab":
+            self.world.client.script(name, *[silent] * self.REQUESTS)
+        for number in range(self.REQUESTS):
+            parts = (f"shared-{number % 7}", f"shared-{number % 5}", "own")
+            self.world.send("stream", parts=parts, request_id=f"id-{number}")
+        finds = []
+        original = CrashEvidence.find_causes
+
+        def find_causes(*arguments):
+            finds.append(arguments)
+            return original(*arguments)
+
+        with mock.patch.object(CrashEvidence, "find_causes", find_causes):
+            for exchange in self.world.client.exchanges:
+                exchange.lose(ConnectionLost("connection lost"))
+            self.world.pass_time(0.2)
+        self.assertTrue(finds)
+        self.assertLessEqual(len(finds), len(self.records))
+
+    def test_an_error_in_the_judgement_lets_the_requests_go_on(self):
+        time = VirtualTime()
+        bugs, ended = [], []
+        judge = mock.Mock(side_effect=ValueError)
+        received = ReceivedReports(VirtualClock(time), judge, bugs.append)
+        report = CrashReport("a", 1, (CrashSuspect("request:1", ("part",)),))
+        received.add(report, is_own=True).addCallback(ended.append)
+        time.advance(timedelta(0))
+        self.assertEqual((len(bugs), ended), (1, [None]))
+
+
 class AttemptTests(unittest.TestCase):
     """One entry process, whose replicas lose their connections."""
 
--- a/libs/gateway/tests/test_quarantine_decisions.py
+++ b/libs/gateway/tests/test_quarantine_decisions.py
@@ -35,7 +35,7 @@
             for number, parts in enumerate(prompts)
         )
         report = CrashReport(f"replica-{self.crashes}", 1, suspects)
-        return self.quarantine.record_crash(report, now)
+        return self.quarantine.record_crashes([report], now)
 
     def is_refused(self, *parts, now=NOW):
         return self.quarantine.find_time_left(parts, now) is not None
@@ -80,7 +80,7 @@
                 CrashSuspect(f"good-{number}", ("system", f"good-{number}")),
             )
             report = CrashReport(f"r{number}", 1, suspects)
-            quarantine.record_crash(report, NOW)
+            quarantine.record_crashes([report], NOW)
         self.assertIsNotNone(quarantine.find_time_left(["system", "bad"], NOW))
         self.assertIsNone(quarantine.find_time_left(["system", "good"], NOW))
 
@@ -119,14 +119,14 @@
             quarantine.record_prompt([system, f"sound-{number}"])
         for number in range(3):
             suspect = CrashSuspect(str(number), ("system", f"other-{number}"))
-            quarantine.record_crash(CrashReport(str(number), 1, (suspect,)), NOW)
+            quarantine.record_crashes([CrashReport(str(number), 1, (suspect,))], NOW)
         self.assertIsNone(quarantine.find_time_left(["system"], NOW))
 
     def test_a_process_that_has_seen_no_prompt_suspects_none(self):
         quarantine = PromptQuarantine()
         for replica in "abc":
             suspect = CrashSuspect(replica, ("part",))
-            quarantine.record_crash(CrashReport(replica, 1, (suspect,)), NOW)
+            quarantine.record_crashes([CrashReport(replica, 1, (suspect,))], NOW)
         self.assertIsNone(quarantine.find_time_left(["part"], NOW))
 
     def test_of_sets_that_explain_the_same_the_largest_is_refused(self):
@@ -138,13 +138,13 @@
     def test_one_request_that_crashed_two_replicas_is_not_enough(self):
         for replica in ("a", "b"):
             suspect = CrashSuspect("1", ("shared",))
-            self.quarantine.record_crash(CrashReport(replica, 1, (suspect,)), NOW)
+            self.quarantine.record_crashes([CrashReport(replica, 1, (suspect,))], NOW)
         self.assertFalse(self.is_refused("shared"))
 
     def test_one_crash_told_by_two_processes_is_one(self):
         for request in ("1", "2"):
             suspect = CrashSuspect(request, ("shared",))
-            self.quarantine.record_crash(CrashReport("a", 1, (suspect,)), NOW)
+            self.quarantine.record_crashes([CrashReport("a", 1, (suspect,))], NOW)
         self.assertFalse(self.is_refused("shared"))
 
     def test_parts_answered_lately_are_not_suspected(self):
@@ -249,7 +249,7 @@
                 CrashSuspect(f"{number}-{index}", parts)
                 for index, parts in enumerate(prompts)
             )
-            quarantine.record_crash(CrashReport(f"r{number}", 1, suspects), NOW)
+            quarantine.record_crashes([CrashReport(f"r{number}", 1, suspects)], NOW)
             # Sound requests are answered elsewhere in the meantime.
             for parts in bystanders:
                 quarantine.record_answered(parts, NOW)
--- a/libs/gateway/tests/test_repeated_requests.py
+++ b/libs/gateway/tests/test_repeated_requests.py
@@ -161,7 +161,7 @@
         self.crashes += 1
         suspects = tuple(CrashSuspect(each, ()) for each in fingerprints)
         report = CrashReport(f"replica-{self.crashes}", 1, suspects)
-        return self.quarantine.record_crash(report, self.now)
+        return self.quarantine.record_crashes([report], self.now)
 
     def find_time_left(self, fingerprint=FINGERPRINT):
         return self.quarantine.find_time_left([fingerprint], self.now)
@@ -189,7 +189,7 @@
     def test_one_crash_that_several_processes_report_counts_once(self):
         suspects = (CrashSuspect(self.FINGERPRINT, ()),)
         for _ in range(4):
-            self.quarantine.record_crash(CrashReport("a", 1, suspects), self.now)
+            self.quarantine.record_crashes([CrashReport("a", 1, suspects)], self.now)
         self.assertIsNone(self.find_time_left())
 
     def test_a_request_that_was_answered_lately_is_not_suspected(self):
@@ -204,7 +204,7 @@
         for replica in "abcd":
             suspects = (CrashSuspect(self.FINGERPRINT, ("rare",)),)
             report = CrashReport(replica, 1, suspects)
-            self.quarantine.record_crash(report, self.now)
+            self.quarantine.record_crashes([report], self.now)
         self.assertIsNone(self.find_time_left())
 
     def test_an_answer_ends_the_suspicion_and_the_quarantine(self):
