--- a/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
@@ -16,18 +16,16 @@
     OutcomeUnknown,
     TimedOut,
 )
-from ..observing import BackoffRequested, HeaderUnreadable, StreamResumed
+from ..observing import StreamResumed
 from ..requests import ReplicaRequest
+from .answer_buffer import AnswerBuffer, make_room_error
 from .attempt_load import AttemptLoad
 from .caller_pauses import CallerPauses
 from .measurements import AttemptMeasurements
-from .streams import EventSplitter
 from .time_limit import TimeLimit
+from .wishes import record_misdirection, record_wishes
 
 _FIRST_SERVER_ERROR = 500
-# Longest answer that is read whole before it is forwarded. One that doesn't end must
-# not fill the memory.
-MAX_WHOLE_ANSWER_BYTES = 4_194_304
 # Events of a stream that are forwarded in one turn of the event loop.
 MAX_EVENTS_PER_TURN = 64
 # A prompt that crashes replicas does so as the answer begins. Once a stream has gone on
@@ -80,7 +78,9 @@
         self._has_given_way = False
         self._caller_pauses = CallerPauses()
         self._is_answer_recorded = False
-        self._held = self._context.received.open(self._record.id, self._give_way)
+        self._buffer = AnswerBuffer(
+            self._context.received, self._record.id, self._give_way
+        )
         self.status = 0
         self.version = None
         self.state_age = None
@@ -177,7 +177,7 @@
 
     def _end(self):
         self._time_limit.close()
-        self._held.close()
+        self._buffer.close()
         self._reading = None
         self._load.end()
         self._context.quarantine.remove_attempt(self)
@@ -211,34 +211,19 @@
             await self._exchange_with_replica()
         except CancelledError:
             if self._has_given_way:
-                raise self._make_room_error() from None
+                raise make_room_error() from None
             raise
 
-    def _hold(self, size):
-        """Count the bytes that are held of the answer.
-
-        Raises
-        ------
-        AnswerLost
-            If it has to give way.
-        """
-        self._held.resize(size)
-        if self._held.is_dropped:
-            raise self._make_room_error()
-
-    @staticmethod
-    def _make_room_error():
-        return AnswerLost("no memory is left for more of the answer")
-
     async def _exchange_with_replica(self):
         answer = await self._limit_to_attempt(self._exchange.read_answer())
         self.status = answer.status
         if answer.load is not None:
             self._context.fleet.record_server_load(self._record, answer.load)
-        self._record_wishes(answer)
+        record_wishes(self._context, self._record, answer, self._sent_at)
         if not answer.has_run:
             if answer.is_misdirected:
-                self._record_misdirection()
+                has_models = self._forwarding.request.prompt is not None
+                record_misdirection(self._context, self._record, has_models)
             await self._read_body()
             raise NotRun(f"the replica answered {answer.status} without running")
         if answer.is_success and not answer.is_signed:
@@ -251,32 +236,6 @@
         else:
             await self._forward_whole_answer(answer)
 
-    def _record_misdirection(self):
-        """Record that the replica isn't at its address, or lacks what was asked."""
-        self._context.fleet.record_misdirection(self._record)
-        if self._forwarding.request.prompt is None:
-            # A replica without models lacks nothing: another one answered.
-            now = self._context.clock.monotonic()
-            self._context.fleet.health.record_failure(self._record.id, now, True)
-
-    def _record_wishes(self, answer):
-        """Record what the replica says of the requests that it wants from now on."""
-        for name in answer.unreadable_headers:
-            self._context.observer.observe(HeaderUnreadable(self._record.id, name))
-        if answer.is_misdirected:
-            # It may come from another replica at the address.
-            return
-        if answer.is_leaving:
-            self._context.record_leaving_answer(self._record)
-        if answer.retry_after is not None:
-            now = self._context.clock.monotonic()
-            fleet = self._context.fleet
-            fleet.backoffs.record(self._record, answer.retry_after, now)
-            self._context.observer.observe(
-                BackoffRequested(self._record.id, answer.retry_after)
-            )
-        self._context.rate_limiting.record_answer(self._record, answer, self._sent_at)
-
     def _limit_to_attempt(self, waiter):
         """Limit a Deferred to the time left for the attempt."""
         forwarding = self._forwarding
@@ -297,23 +256,9 @@
         return self._reading
 
     async def _read_body(self):
-        pieces = []
-        try:
-            await self._read_pieces(pieces)
-            return b"".join(pieces)
-        finally:
-            # An error keeps this frame, and with it the list, until it is collected.
-            pieces.clear()
-
-    async def _read_pieces(self, pieces):
-        """Append the pieces of the body to a list."""
-        size = 0
         while piece := await self._limit_to_attempt(self._exchange.read_piece()):
-            pieces.append(piece)
-            size += len(piece)
-            self._hold(size)
-            if size > MAX_WHOLE_ANSWER_BYTES:
-                raise AnswerLost(f"the answer exceeds {MAX_WHOLE_ANSWER_BYTES} bytes")
+            self._buffer.add(piece)
+        return self._buffer.join()
 
     async def _forward_whole_answer(self, answer):
         body = await self._read_body()
@@ -328,12 +273,12 @@
         self._measurements.record_whole_answer(answer, duration)
 
     async def _forward_stream(self, answer):
-        splitter = EventSplitter()
-        try:
-            await self._forward_pieces(answer, splitter)
-        finally:
-            # An error keeps this frame, and with it the bytes, until it is collected.
-            splitter.clear()
+        while piece := await self._read_stream_piece():
+            self._buffer.add_to_stream(piece)
+            await self._forward_whole_events(answer)
+            self._buffer.check_event()
+        if self._buffer.has_partial_event:
+            raise ConnectionLost("the stream ends in the middle of an event")
         sink = self._forwarding.sink
         if not answer.is_framed and self._first_event_at is None:
             raise ConnectionLost("the connection ended before the first event")
@@ -342,20 +287,9 @@
         sink.finish()
         self._record_success(answer)
 
-    async def _forward_pieces(self, answer, splitter):
-        while piece := await self._read_stream_piece():
-            splitter.add(piece)
-            self._hold(splitter.held_bytes)
-            await self._forward_whole_events(answer, splitter)
-            self._hold(splitter.held_bytes)
-            if splitter.is_too_long:
-                raise AnswerLost("the stream has an event without an end")
-        if splitter.has_partial_event:
-            raise ConnectionLost("the stream ends in the middle of an event")
-
-    async def _forward_whole_events(self, answer, splitter):
+    async def _forward_whole_events(self, answer):
         """Forward the events that are whole by now, some in each turn of the loop."""
-        while events := splitter.take(MAX_EVENTS_PER_TURN):
+        while events := self._buffer.take_events(MAX_EVENTS_PER_TURN):
             if self._first_event_at is None:
                 self._check_first_event(events[0])
                 await self._register_version()
