--- a/libs/gateway/src/balsamspoke_gateway/store/view.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/view.py
@@ -11,9 +11,6 @@
     AdapterAnnounced,
     ConfigurationAdopted,
     EntriesListed,
-    ReplicaChanged,
-    ReplicaMissing,
-    ReplicasListed,
     StoreRestored,
 )
 from ..peers.directory import PeerDirectory
@@ -22,6 +19,7 @@
 from .probing import StoreProber
 from .reachability import STORE, Reachability
 from .registration import EntryRegistration
+from .replica_records import ReplicaRecords
 from .watch_times import (
     ENTRY_POLL_INTERVAL,
     REPLICA_POLL_RATIO,
@@ -66,9 +64,8 @@
         self._sources = sources
         self._on_change = on_change
         self._followers = []
-        self._replica_era = None
         self._heard_era = 0
-        self._reported_missing = frozenset()
+        self._replicas = ReplicaRecords(context, on_change)
         self.peers = PeerDirectory(context.settings.ip)
         self.reachability = Reachability(
             STORE, context.clock, context.observer, self._record_store_recovery
@@ -182,22 +179,9 @@
         outage = self.reachability.last_outage
         harmless_outage = HARMLESS_HEARTBEATS * context.settings.heartbeat_interval
         if outage is None or outage > harmless_outage.total_seconds():
-            now = context.clock.monotonic()
-            context.fleet.directory.record_store_recovery(now)
-            self._schedule_expiry()
+            self._replicas.record_recovery()
         context.stream_versions.record_recovery()
 
-    def _schedule_expiry(self):
-        self._context.clock.call_later(RECOVERY_GRACE, self._expire_missing)
-
-    def _expire_missing(self):
-        """Remove the replicas whose entries are still missing after the grace."""
-        now = self._context.clock.monotonic()
-        for replica_id in self._context.fleet.directory.expire(now):
-            self._report_change(
-                replica_id, "gone", "still missing after the store recovered"
-            )
-
     def _apply_configurations(self, page, is_full_list):
         context = self._context
         for change in page.changes:
@@ -213,62 +197,9 @@
                 self._open_if_ready()
 
     def _apply_replicas(self, page, is_full_list):
-        self._context.stream_versions.refresh()
-        is_restored = self._change_replicas(page, is_full_list)
-        self._record_cold_replicas(page, is_full_list, is_restored)
-        self._context.stream_versions.refresh()
+        self._replicas.apply(page, is_full_list)
         self._open_if_ready()
 
-    def _change_replicas(self, page, is_full_list):
-        """Adopt a page; return whether it lists a store that was restored."""
-        directory = self._context.fleet.directory
-        now = self._context.clock.monotonic()
-        if is_full_list:
-            records = [each.record for each in page.changes if each.record is not None]
-            is_restored = self._adopt_replicas(records, page.position.era, now)
-            listed = ReplicasListed(len(records), page.position.revision)
-            self._context.observer.observe(listed)
-            self._report_missing(now)
-            self._on_change()
-            return is_restored
-        for change in page.changes:
-            self._report_record_change(change)
-            if change.record is None:
-                directory.remove(change.name, now)
-            else:
-                directory.put(change.record)
-                self._context.stream_versions.record_replica(change.record)
-        self._report_missing(now)
-        return False
-
-    def _report_missing(self, now):
-        """Report each replica whose entry is missing, once."""
-        directory = self._context.fleet.directory
-        missing = directory.missing
-        for replica_id in missing - self._reported_missing:
-            time_left = directory.find_grace_left(now).total_seconds()
-            self._context.observer.observe(ReplicaMissing(replica_id, time_left))
-        self._reported_missing = missing
-
-    def _record_cold_replicas(self, page, is_full_list, is_restored):
-        """Record what the entries that were adopted say of cold replicas."""
-        directory = self._context.fleet.directory
-        found = [directory.find(change.name) for change in page.changes]
-        listed = [each for each in found if each is not None]
-        warmups = self._context.rate_limiting.warmups
-        warmups.record_entries(listed, is_full_list, is_restored)
-
-    def _adopt_replicas(self, records, era, now):
-        directory = self._context.fleet.directory
-        is_restored = self._replica_era is not None and era > self._replica_era
-        self._replica_era = era
-        if is_restored:
-            directory.restore(records, now)
-            self._schedule_expiry()
-        else:
-            directory.replace_all(records, now)
-        return is_restored
-
     def _apply_versions(self, page, is_full_list):
         for change in page.changes:
             announced = change.record
@@ -313,28 +244,5 @@
         if is_ready:
             context.startup.open()
 
-    def _report_record_change(self, change):
-        previous = self._context.fleet.directory.find(change.name)
-        if change.record is None:
-            self._report_removal(change)
-        elif previous is None:
-            self._report_change(
-                change.name, "new", "its entry in the store was written"
-            )
-        elif change.record.is_leaving and not previous.is_leaving:
-            self._report_change(
-                change.name, "leaving", "its entry in the store is marked as leaving"
-            )
-
-    def _report_removal(self, change):
-        now = self._context.clock.monotonic()
-        if not self._context.fleet.directory.is_recovering(now):
-            self._report_change(
-                change.name, "gone", "its entry in the store was removed"
-            )
-
-    def _report_change(self, replica, change, reason):
-        self._context.observer.observe(ReplicaChanged(replica, change, reason))
-
     def _run(self, coroutine):
         Deferred.fromCoroutine(coroutine).addErrback(self._context.report_bug)
--- a/libs/gateway/tests/test_entry.py
+++ b/libs/gateway/tests/test_entry.py
@@ -136,9 +136,8 @@
     def test_goes_on_following_after_an_unexpected_error(self):
         self.world.configure(1)
         self.start()
-        with mock.patch.object(
-            self.core._store_view, "_report_record_change"
-        ) as report:
+        replicas = self.core._store_view._replicas
+        with mock.patch.object(replicas, "_report_change") as report:
             report.side_effect = RuntimeError("unexpected")
             self.add("a")
             self.world.pass_time(1)
