--- a/libs/transport/src/balsamspoke_transport/callers.py
+++ b/libs/transport/src/balsamspoke_transport/callers.py
@@ -208,6 +208,8 @@
     def resumeProducing(self):
         """Go on, since all written bytes were sent."""
         super().resumeProducing()
+        if self._is_closing:
+            self._networkProducer.pauseProducing()
         if not self.is_full:
             return
         self.is_full = False
@@ -237,7 +239,8 @@
     def _parse_deferred(self):
         """Parse on in a later turn; return whether there is more to parse."""
         self._is_deferred = self._parse_turn()
-        if not self._is_deferred and not self._waitingForTransport:
+        is_waiting = self._waitingForTransport or self._is_closing
+        if not self._is_deferred and not is_waiting:
             self._networkProducer.resumeProducing()
         return self._is_deferred
 
@@ -285,10 +288,12 @@
         """Close the connection once the caller has got what was written to it.
 
         The kernel would go on to send the rest by itself, but only for as long as its
-        time limit lets the caller pause.
+        time limit lets the caller pause. What the caller sends meanwhile is not read,
+        so that it may be sent again.
         """
         if not self._is_closing:
             self._is_closing = True
+            self._networkProducer.pauseProducing()
             self.setTimeout(self.limits.idle_timeout.total_seconds())
             self._factory.send_monitor.call_when_sent(self, super().loseConnection)
 
--- a/libs/transport/tests/test_slow_callers.py
+++ b/libs/transport/tests/test_slow_callers.py
@@ -1,14 +1,19 @@
 import unittest
+from datetime import timedelta
 from unittest import mock
 
 from balsamspoke_gateway.buffering import BufferBudget
 from balsamspoke_gateway.configuration import CallerLimits
-from balsamspoke_transport import callers
+from balsamspoke_transport import callers, send_monitor
 from balsamspoke_transport.callers import MAX_UNSENT_BYTES, CallerFactory
+from balsamspoke_transport.send_monitor import SendState
 from twisted.internet.abstract import FileDescriptor
 from twisted.internet.task import Clock
 
 ANSWER_BYTES = 100_000
+SECOND = timedelta(seconds=1)
+UNSENT = SendState(0, 5000, 0, 0, SECOND, SECOND)
+SENT = SendState(0, 0, 0, 0, SECOND, SECOND)
 LIMIT_BYTES = 1_000_000
 REQUEST = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
 UPLOAD_HEAD = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n"
@@ -23,6 +28,8 @@
         Bytes that the caller has read.
     was_aborted : bool
         Whether the connection was dropped.
+    is_reading : bool
+        Whether what the caller sends is read.
     """
 
     def __init__(self, clock):
@@ -30,6 +37,7 @@
         self.connected = 1
         self.read_bytes = 0
         self.was_aborted = False
+        self.is_reading = True
 
     def getPeer(self):
         return None
@@ -37,6 +45,9 @@
     def getHost(self):
         return None
 
+    def getHandle(self):
+        return mock.Mock(spec=["setsockopt"])
+
     def startWriting(self):
         """Send nothing of its own accord."""
 
@@ -44,10 +55,10 @@
         """Do nothing: nothing is sent of its own accord."""
 
     def startReading(self):
-        """Do nothing: a test supplies what is received."""
+        self.is_reading = True
 
     def stopReading(self):
-        """Do nothing: a test supplies what is received."""
+        self.is_reading = False
 
     def writeSomeData(self, data):
         count = min(len(data), self._wanted)
@@ -71,6 +82,7 @@
         patch.start()
         self.addCleanup(patch.stop)
         self.clock = Clock()
+        self.is_closing = False
         self.budget = BufferBudget(LIMIT_BYTES)
         self.dropped = []
         self.exchanges = []
@@ -81,7 +93,7 @@
             self.exchanges.append,
             self.build_refusal,
             None,
-            lambda: False,
+            lambda: self.is_closing,
             self.budget,
             self.dropped.append,
         )
@@ -116,6 +128,26 @@
         self.assertEqual(dropped, [True] * (1000 - kept) + [False] * kept)
         self.assertEqual(self.dropped, [ANSWER_BYTES] * (1000 - kept))
 
+    # A request that was read while the connection waited to close got no answer.
+    def test_a_request_is_not_read_while_the_last_answer_is_taken(self):
+        self.is_closing = True
+        with mock.patch.object(send_monitor, "read_send_state", lambda _: UNSENT):
+            transport, channel = self.connect(REQUEST)
+            exchange = self.exchanges.pop()
+            exchange.start(200, (), ANSWER_BYTES)
+            exchange.write(b"a" * ANSWER_BYTES)
+            exchange.finish()
+            self.clock.advance(1)
+            self.assertFalse(transport.is_reading)
+            transport.read(ANSWER_BYTES * 2)
+            self.assertFalse(transport.is_reading)
+            channel.dataReceived(REQUEST)
+            self.assertEqual(self.exchanges, [])
+            self.assertFalse(transport.disconnecting)
+        with mock.patch.object(send_monitor, "read_send_state", lambda _: SENT):
+            self.clock.pump([0.5] * 4)
+            self.assertTrue(transport.disconnecting)
+
     def test_a_quick_caller_gets_a_long_answer_while_memory_is_short(self):
         for _ in range(20):
             self.connect(REQUEST)
