--- a/libs/gateway/src/balsamspoke_gateway/quarantine/comparison.py
+++ b/libs/gateway/src/balsamspoke_gateway/quarantine/comparison.py
@@ -13,8 +13,9 @@
 
     Parameters
     ----------
-    suspicions : sequence of Suspicion
-        The requests that may have crashed a replica.
+    suspicions : sequence
+        The requests that may have crashed a replica, each with ``crash``, ``request``
+        and ``parts``.
 
     Attributes
     ----------
