--- a/libs/gateway/src/balsamspoke_gateway/store/probing.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/probing.py
@@ -8,9 +8,6 @@
 from ..exceptions import NO_DELAY
 from .following import MAX_BACKOFF, MIN_BACKOFF
 
-# Time without any answer of the store after which it is asked for one.
-PROBE_INTERVAL = timedelta(milliseconds=950)
-
 
 class StoreProber:
     """Ask the store for an answer whenever none has come for a time.
@@ -29,15 +26,18 @@
     probe : callable
         Asks the store for a small answer; returns an awaitable that fails with
         StoreUnavailable.
+    interval : timedelta
+        Time without any answer after which the store is asked for one.
     on_silence : callable
         Called without arguments when the store answers after a call that it did not
         answer on an open connection.
     """
 
-    def __init__(self, clock, reachability, probe, on_silence):
+    def __init__(self, clock, reachability, probe, interval, on_silence):
         self._clock = clock
         self._reachability = reachability
         self._probe = probe
+        self._interval = interval
         self._on_silence = on_silence
         self._is_silent = False
 
@@ -67,8 +67,8 @@
     def _find_time_left(self):
         silence = self._reachability.silence
         if silence is None:
-            return PROBE_INTERVAL
-        return PROBE_INTERVAL - timedelta(seconds=silence)
+            return self._interval
+        return self._interval - timedelta(seconds=silence)
 
     def _record_answer(self):
         self._reachability.record_answer()
--- a/libs/gateway/src/balsamspoke_gateway/store/view.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/view.py
@@ -1,7 +1,5 @@
 """What an entry process knows from the platform's store, kept up to date."""
 
-from datetime import timedelta
-
 from balsamspoke_types.exceptions import StoreUnavailable
 from twisted.internet.defer import Deferred
 
@@ -22,18 +20,13 @@
 from .replica_records import ReplicaRecords
 from .watch_times import (
     ENTRY_POLL_INTERVAL,
+    READ_SPREAD,
     REPLICA_POLL_RATIO,
     VERSION_POLL_INTERVAL,
+    choose_probe_interval,
+    compute_harmless_outage,
 )
 
-# Intervals of the replicas' heartbeats in which no entry expires while the store is
-# away: the last heartbeat may be one interval older, and an entry expires after three.
-HARMLESS_HEARTBEATS = 1.5
-
-# Time within which the processes read the store again if it was restored or silent, so
-# that they don't all do so at the same moment.
-READ_SPREAD = timedelta(milliseconds=300)
-
 
 class StoreView:
     """Apply the records of the store to the state of an entry process.
@@ -74,7 +67,11 @@
             context, registry, self.peers, self.reachability, self._list_peers
         )
         self._prober = StoreProber(
-            context.clock, self.reachability, registry.probe, self._restart_followers
+            context.clock,
+            self.reachability,
+            registry.probe,
+            choose_probe_interval(context.settings),
+            self._restart_followers,
         )
         self.era = 0
 
@@ -177,7 +174,7 @@
     def _record_store_recovery(self):
         context = self._context
         outage = self.reachability.last_outage
-        harmless_outage = HARMLESS_HEARTBEATS * context.settings.heartbeat_interval
+        harmless_outage = compute_harmless_outage(context.settings)
         if outage is None or outage > harmless_outage.total_seconds():
             self._replicas.record_recovery()
         context.stream_versions.record_recovery()
--- a/libs/gateway/src/balsamspoke_gateway/store/watch_times.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/watch_times.py
@@ -1,10 +1,9 @@
-"""How long watches of the store may take, from the bounds that the settings name."""
+"""Times of the calls to the store, from the bounds that the settings name."""
 
 from dataclasses import dataclass
 from datetime import timedelta
 
 from ..exceptions import NO_DELAY
-from .probing import PROBE_INTERVAL
 
 # Shortest time between two reads of replica changes, as a fraction of ``drain_time``,
 # the time to stop sending to a leaving replica. Each replica writes about once a
@@ -26,8 +25,18 @@
 # The store is asked for nothing that takes longer or shorter than these.
 MAX_WATCH_TIME = timedelta(seconds=30)
 MIN_WATCH_TIME = timedelta(milliseconds=500)
+# Intervals of the replicas' heartbeats in which no entry expires while the store is
+# away: the last heartbeat may be one interval older, and an entry expires after three.
+HARMLESS_HEARTBEATS = 1.5
+# Time to notice that a probe is unanswered, and to have an answer to the next one.
+PROBE_NOTICE_TIME = timedelta(milliseconds=850)
+# Time within which the processes read the store again if it was restored or silent, so
+# that they don't all do so at the same moment.
+READ_SPREAD = timedelta(milliseconds=300)
 # Part of the time between probes in which the answer to a watch arrives.
 ANSWER_MARGIN = timedelta(milliseconds=50)
+# Each probe is billed.
+MIN_PROBE_INTERVAL = MIN_WATCH_TIME + ANSWER_MARGIN
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +75,22 @@
     return min(MAX_WATCH_TIME, max(MIN_WATCH_TIME, watch_time))
 
 
+def compute_harmless_outage(settings):
+    """Return the longest outage of the store (timedelta) in which no entry expires."""
+    return HARMLESS_HEARTBEATS * settings.heartbeat_interval
+
+
+def choose_probe_interval(settings):
+    """Return the time without an answer after which the store is probed.
+
+    A silence is noticed before it could be an outage in which entries expire, and all
+    records are read again within the time of calm.
+    """
+    until_harmful = compute_harmless_outage(settings) - PROBE_NOTICE_TIME
+    until_calm = settings.calm_time - NOTICE_TIME - READ_SPREAD
+    return max(MIN_PROBE_INTERVAL, min(until_harmful, until_calm))
+
+
 def make_watch_times(settings):
     """Return the WatchTimes that keep the bounds of GatewaySettings.
 
@@ -79,7 +104,7 @@
     # An answer comes before the store would be probed.
     replicas = min(
         choose(settings.drain_time, REPLICA_POLL_RATIO * settings.drain_time),
-        PROBE_INTERVAL - ANSWER_MARGIN,
+        choose_probe_interval(settings) - ANSWER_MARGIN,
     )
     return WatchTimes(
         choose(settings.configuration_time),
--- a/libs/gateway/tests/test_silent_connections.py
+++ b/libs/gateway/tests/test_silent_connections.py
@@ -5,8 +5,11 @@
 from balsamspoke_gateway.settings import GatewaySettings
 from balsamspoke_gateway.store.watch_times import (
     MIN_WATCH_TIME,
+    READ_SPREAD,
     REPLICA_POLL_RATIO,
     VERSION_POLL_INTERVAL,
+    choose_probe_interval,
+    compute_harmless_outage,
     make_watch_times,
 )
 from hypothesis import given
@@ -156,6 +159,23 @@
                 self.assertLessEqual(pause_after + watch_time + noticed, due)
             self.assertGreaterEqual(watch_time, MIN_WATCH_TIME)
 
+    # The store was probed as if all replicas wrote their entries each 1.2 s.
+    def test_a_silence_is_told_from_an_outage_whatever_the_heartbeats(self):
+        for heartbeat in (1.0, 1.2, 2.0, 5.0):
+            with self.subTest(heartbeat=heartbeat):
+                settings = GatewaySettings(
+                    "vm",
+                    "10.0.1.1",
+                    "north",
+                    heartbeat_interval=seconds(heartbeat),
+                    calm_time=seconds(CALM_SECONDS),
+                )
+                interval = choose_probe_interval(settings)
+                answered = interval + seconds(OVERDUE_SECONDS + BACKOFF_SECONDS)
+                self.assertLessEqual(answered, compute_harmless_outage(settings))
+                read = interval + seconds(OVERDUE_SECONDS) + READ_SPREAD
+                self.assertLess(read + seconds(LIST_SECONDS), seconds(CALM_SECONDS))
+
 
 if __name__ == "__main__":
     unittest.main()
