--- a/libs/gateway/src/balsamspoke_gateway/buffering/received.py
+++ b/libs/gateway/src/balsamspoke_gateway/buffering/received.py
@@ -13,14 +13,14 @@
     source : str
         Id of the replica.
     on_dropped : callable
-        Called without arguments when the answer has to give way.
+        Called without arguments when the answer is dropped.
 
     Attributes
     ----------
     size : int
         Bytes that are held.
     is_dropped : bool
-        Whether it had to give way; nothing more may be held of it.
+        Whether it was dropped; nothing more may be held of it.
     """
 
     def __init__(self, budget, source, on_dropped):
@@ -31,12 +31,12 @@
         self.is_dropped = False
 
     def resize(self, size):
-        """Count the number of bytes that are held by now; others may have to go."""
+        """Count the number of bytes that are held by now; answers may be dropped."""
         if not self.is_dropped:
             self._budget.resize(self, size)
 
     def drop(self):
-        """Let the answer give way."""
+        """Drop the answer, to free memory."""
         self.close()
         self.is_dropped = True
         self._on_dropped()
@@ -51,8 +51,8 @@
 
     This handles replicas that send without end: each answer has its bound, and many of
     them at once would fill the VM's memory, which ends the requests of all callers.
-    When there is no room, the replica of which most is held has to give way, by its
-    longest answer: answers of sound replicas are short, and are spread over them.
+    When there is no room, the longest answer is dropped of the replica of which most
+    is held: answers of sound replicas are short, and are spread over them.
 
     Parameters
     ----------
@@ -64,7 +64,7 @@
     held_bytes : int
         Bytes that are held of all answers.
     dropped : int
-        Answers that had to give way since the start.
+        Answers that were dropped since the start.
     """
 
     def __init__(self, limit_bytes=None):
@@ -79,7 +79,7 @@
         return HeldAnswer(self, source, on_dropped)
 
     def resize(self, answer, size):
-        """Count a new size of a HeldAnswer, and let others go while it is too much."""
+        """Count a new size of a HeldAnswer, and drop answers while it is too much."""
         self._count(answer, size)
         while self._limit_bytes is not None and self.held_bytes > self._limit_bytes:
             self._choose_excess().drop()
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/answer_buffer.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/answer_buffer.py
@@ -18,7 +18,7 @@
     source : str
         Id of the replica.
     on_dropped : callable
-        Called without arguments when the answer has to give way to others.
+        Called without arguments when the answer is dropped for lack of memory.
     """
 
     def __init__(self, budget, source, on_dropped):
@@ -37,7 +37,7 @@
         Raises
         ------
         AnswerLost
-            If the answer is too long, or has to give way to others.
+            If the answer is too long, or is dropped for lack of memory.
         """
         self._pieces.append(piece)
         size = self._held.size + len(piece)
@@ -55,7 +55,7 @@
         Raises
         ------
         AnswerLost
-            If the answer has to give way to others.
+            If the answer is dropped for lack of memory.
         """
         self._splitter.add(piece)
         self._count(self._splitter.held_bytes)
@@ -84,5 +84,5 @@
 
 
 def make_room_error():
-    """Return the error of an answer that has to give way to others."""
+    """Return the error of an answer that is dropped for lack of memory."""
     return AnswerLost("no memory is left for more of the answer")
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/attempt.py
@@ -22,8 +22,8 @@
 from .attempt_load import AttemptLoad
 from .caller_pauses import CallerPauses
 from .measurements import AttemptMeasurements
+from .replica_signals import record_misdirection, record_signals
 from .time_limit import TimeLimit
-from .wishes import record_misdirection, record_wishes
 
 _FIRST_SERVER_ERROR = 500
 # Events of a stream that are forwarded in one turn of the event loop.
@@ -75,11 +75,11 @@
         self._reading = None
         self._time_limit = TimeLimit(self._context.clock)
         self._is_recalled = False
-        self._has_given_way = False
+        self._is_dropped = False
         self._caller_pauses = CallerPauses()
         self._is_answer_recorded = False
         self._buffer = AnswerBuffer(
-            self._context.received, self._record.id, self._give_way
+            self._context.received, self._record.id, self._drop_answer
         )
         self.status = 0
         self.version = None
@@ -196,21 +196,21 @@
         if isinstance(error, ConnectionLost) and not self.is_harmless:
             await self._context.quarantine.investigate(self._record, self._forwarding)
 
-    def _give_way(self):
-        """End the answer in the next turn, as too much is held of all answers."""
+    def _drop_answer(self):
+        """End the attempt in the next turn, as too much is held of all answers."""
         self._context.clock.call_later(NO_DELAY, self._end_reading)
 
     def _end_reading(self):
         if self._reading is not None:
-            self._has_given_way = True
+            self._is_dropped = True
             self._reading.cancel()
 
     async def _receive(self):
-        """Exchange with the replica; the answer may have to give way meanwhile."""
+        """Exchange with the replica; its answer may be dropped for lack of memory."""
         try:
             await self._exchange_with_replica()
         except CancelledError:
-            if self._has_given_way:
+            if self._is_dropped:
                 raise make_room_error() from None
             raise
 
@@ -219,7 +219,7 @@
         self.status = answer.status
         if answer.load is not None:
             self._context.fleet.record_server_load(self._record, answer.load)
-        record_wishes(self._context, self._record, answer, self._sent_at)
+        record_signals(self._context, self._record, answer, self._sent_at)
         if not answer.has_run:
             if answer.is_misdirected:
                 has_models = self._forwarding.request.prompt is not None
--- a/libs/gateway/src/balsamspoke_gateway/forwarding/wishes.py
+++ b/libs/gateway/src/balsamspoke_gateway/forwarding/replica_signals.py
@@ -1,10 +1,10 @@
-"""What a replica says in an answer of the requests that it wants from now on."""
+"""Signals in a replica's answer: that it leaves, backoffs, rate limits, warm-up."""
 
 from ..observing import BackoffRequested, HeaderUnreadable
 
 
-def record_wishes(context, record, answer, sent_at):
-    """Record what a replica wants.
+def record_signals(context, record, answer, sent_at):
+    """Record what an answer says of the requests that its replica takes from now on.
 
     Parameters
     ----------
--- a/libs/gateway/tests/test_endless_answers.py
+++ b/libs/gateway/tests/test_endless_answers.py
@@ -113,7 +113,7 @@
                 self.world.pass_time(5)
                 self.assertEqual(self.received.held_bytes, 0)
 
-    def test_the_replica_of_which_most_is_held_gives_way(self):
+    def test_an_answer_is_dropped_of_the_replica_of_which_most_is_held(self):
         self.world.add(make_record("b", number=3))
         for name in "ab":
             endless = Answer(pieces=(), goes_silent=True)
@@ -134,7 +134,7 @@
         exchanges[number].supply(b"x")
         self.assertEqual(sinks[number].status, 200)
 
-    def test_an_answer_that_gives_way_tells_that_it_may_have_run(self):
+    def test_an_answer_that_is_dropped_tells_that_it_may_have_run(self):
         sink, _ = self.world.send("unsafe", caller_timeout=4)
         self.world.client.script("a", Answer(pieces=(), goes_silent=True))
         sink, _ = self.world.send("unsafe", caller_timeout=4)
@@ -160,7 +160,7 @@
         ]
         self.assertEqual(sum(each.held_bytes for each in splitters), 0)
 
-    def test_a_caller_that_leaves_as_its_answer_gives_way_is_not_served_again(self):
+    def test_a_caller_that_leaves_as_its_answer_is_dropped_is_not_served_again(self):
         endless = Answer(pieces=(), goes_silent=True)
         self.world.client.script("a", endless, endless)
         _, first = self.world.send("safe", caller_timeout=4)
--- a/libs/transport/src/balsamspoke_transport/send_monitor.py
+++ b/libs/transport/src/balsamspoke_transport/send_monitor.py
@@ -99,7 +99,7 @@
 @dataclass(slots=True)
 class _Watched:
     empty_checks: int = 0
-    is_patient: bool = False
+    is_unlimited: bool = False
     unanswered_since: timedelta | None = None
     on_sent: object = None
 
@@ -195,13 +195,13 @@
             watched.empty_checks = 0
             watched.unanswered_since = None
             if state.is_window_closed or state.retransmits:
-                self._set_patience(connection, watched, True)
+                self._set_unlimited(connection, watched, True)
         else:
             self._record_unanswered(connection, watched, state, now)
 
     def _record_empty(self, connection, watched):
         watched.unanswered_since = None
-        self._set_patience(connection, watched, False)
+        self._set_unlimited(connection, watched, False)
         watched.empty_checks += 1
         if watched.empty_checks >= EMPTY_CHECKS:
             self._end(connection)
@@ -223,8 +223,8 @@
         connection.transport.abortConnection()
 
     @staticmethod
-    def _set_patience(connection, watched, is_patient):
-        if watched.is_patient != is_patient:
-            watched.is_patient = is_patient
-            limit = None if is_patient else UNACKNOWLEDGED_TIMEOUT
+    def _set_unlimited(connection, watched, is_unlimited):
+        if watched.is_unlimited != is_unlimited:
+            watched.is_unlimited = is_unlimited
+            limit = None if is_unlimited else UNACKNOWLEDGED_TIMEOUT
             set_unacknowledged_timeout(connection.transport.getHandle(), limit)
