--- a/libs/gateway/src/balsamspoke_gateway/store/watch_times.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/watch_times.py
@@ -26,8 +26,9 @@
 MAX_WATCH_TIME = timedelta(seconds=30)
 MIN_WATCH_TIME = timedelta(milliseconds=500)
 # Intervals of the replicas' heartbeats in which no entry expires while the store is
-# away: the last heartbeat may be one interval older, and an entry expires after three.
-HARMLESS_HEARTBEATS = 1.5
+# away: an entry expires after three, and its last heartbeat may be one interval old
+# by then, and a little late.
+HARMLESS_HEARTBEATS = 1.9
 # Time to notice that a probe is unanswered, and to have an answer to the next one.
 PROBE_NOTICE_TIME = timedelta(milliseconds=850)
 # Time within which the processes read the store again if it was restored or silent, so
