Pause between lists of the store while each watch expires

What callers saw: nothing yet. A store that has dropped its history whenever a watch comes, as after a list that takes longer than the history is kept, was listed again and again without a pause; its rate is shared by all processes, and each call is priced.

Cause: an expired watch is followed by a list at once, however often.

Evidence: test_lists_follow_one_another_with_a_pause_if_each_watch_expires failed before: 2,002 calls at once, where it stops to answer.

Why it works: the first expired watch is followed by a list at once, as before; a further one, without an answered watch between them, waits for the longest backoff, 0.6 s.

--- a/libs/gateway/src/balsamspoke_gateway/store/following.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/following.py
@@ -115,6 +115,8 @@
         self._report_bug = report_bug
         self._polling = None
         self._restart_delay = None
+        # Whether a watch was answered since one has expired.
+        self._was_answered = True
 
     def restart(self, delay):
         """List the records again after a timedelta, instead of waiting for changes."""
@@ -131,7 +133,9 @@
                 failures = 0
                 await self._watch(position)
             except WatchExpired:
-                continue
+                if not self._was_answered:
+                    await sleep(self._clock, MAX_BACKOFF)
+                self._was_answered = False
             except CancelledError:
                 if self._restart_delay is None:
                     raise
@@ -156,6 +160,7 @@
     async def _watch(self, position):
         while True:
             page = await self._poll(position)
+            self._was_answered = True
             self._reachability.record_answer()
             if page.changes:
                 self._on_change(page)
