Bound the watches of a kind of which one record changes all the time

What callers saw: nothing yet. Another writer that writes its entry many times a second costs each process as many calls of the store, which all processes share at a rate; so does a store that answers watches at once with nothing.

Cause: watches without a least interval (configurations, drained domains) follow one another at once, and so do all others as long as their pages show no change that can be read.

Why it works: eight polls in a row may be answered sooner than 200 ms after they began, so that sound changes in quick succession are known at once; the next ones wait for the rest of the 200 ms. A restart of the records (a silence, a process that wakes) ends such a pause, test_a_restart_takes_effect_during_a_pause. A pause after each quick poll was tried first: three tests of drained domains failed, as the second of two changes was known up to 0.2 s later.

--- a/libs/gateway/src/balsamspoke_gateway/store/following.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/following.py
@@ -8,12 +8,18 @@
 from twisted.internet.defer import CancelledError, ensureDeferred
 from twisted.python.failure import Failure
 
+from ..exceptions import NO_DELAY
 from ..observing import WatchFailed
 
 # Backoff after a failed call, doubled up to the maximum. Calls are billed even if the
 # store refuses them, and all processes share its rate limit.
 MIN_BACKOFF = timedelta(milliseconds=150)
 MAX_BACKOFF = timedelta(milliseconds=600)
+# Shortest time from the begin of a poll to that of the next one, once several polls in
+# a row were answered sooner: one record that is written all the time must not cost a
+# call for each of its changes.
+MIN_POLL_INTERVAL = timedelta(milliseconds=200)
+MAX_QUICK_POLLS = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,16 +119,19 @@
         self._min_interval = min_interval
         self._observer = observer
         self._report_bug = report_bug
-        self._polling = None
+        # A poll, or the pause before the next one.
+        self._waiting = None
         self._restart_delay = None
+        # Polls in a row that were answered within ``MIN_POLL_INTERVAL``.
+        self._quick_polls = 0
         # Whether a watch was answered since one has expired.
         self._was_answered = True
 
     def restart(self, delay):
         """List the records again after a timedelta, instead of waiting for changes."""
-        if self._polling is not None:
+        if self._waiting is not None:
             self._restart_delay = delay
-            self._polling.cancel()
+            self._waiting.cancel()
 
     async def run(self):
         """Follow the records until cancelled."""
@@ -134,7 +143,7 @@
                 await self._watch(position)
             except WatchExpired:
                 if not self._was_answered:
-                    await sleep(self._clock, MAX_BACKOFF)
+                    await self._wait(sleep(self._clock, MAX_BACKOFF))
                 self._was_answered = False
             except CancelledError:
                 if self._restart_delay is None:
@@ -159,23 +168,38 @@
 
     async def _watch(self, position):
         while True:
+            asked_at = self._clock.monotonic()
             page = await self._poll(position)
             self._was_answered = True
             self._reachability.record_answer()
             if page.changes:
                 self._on_change(page)
             position = max(position, page.position)
-            if page.changes and self._min_interval:
-                await sleep(self._clock, self._min_interval)
+            pause = self._choose_pause(page, asked_at)
+            if pause > NO_DELAY:
+                await self._wait(sleep(self._clock, pause))
+
+    def _choose_pause(self, page, asked_at):
+        """Return the time until the next poll, after a page that was just applied."""
+        if page.changes and self._min_interval:
+            return self._min_interval
+        time_left = asked_at + MIN_POLL_INTERVAL - self._clock.monotonic()
+        self._quick_polls = self._quick_polls + 1 if time_left > NO_DELAY else 0
+        return time_left if self._quick_polls > MAX_QUICK_POLLS else NO_DELAY
 
     async def _poll(self, position):
         began_at = self._clock.monotonic()
-        self._polling = ensureDeferred(self._source.poll(position))
         try:
-            return await self._polling
+            return await self._wait(ensureDeferred(self._source.poll(position)))
         except StoreUnavailable as error:
             duration = (self._clock.monotonic() - began_at).total_seconds()
             self._observer.observe(WatchFailed(self._name, duration, str(error)))
             raise
+
+    async def _wait(self, waiting):
+        """Wait for a Deferred, which ``restart`` cancels."""
+        self._waiting = waiting
+        try:
+            return await waiting
         finally:
-            self._polling = None
+            self._waiting = None
--- a/libs/gateway/tests/test_following.py
+++ b/libs/gateway/tests/test_following.py
@@ -4,6 +4,7 @@
 from balsamspoke_gateway.ports import RecordSource
 from balsamspoke_gateway.store.following import (
     Follower,
+    RecordChange,
     RecordPage,
     StorePosition,
 )
@@ -82,6 +83,32 @@
         self.time.advance(seconds(0))
         self.assertEqual(self.source.lists, 2)
 
+    # One entry that was written all the time cost a call for each of its changes.
+    def test_a_record_that_changes_all_the_time_costs_few_calls(self):
+        for changes in ((RecordChange("odd", None),), ()):
+            page = RecordPage(changes, POSITION)
+            for min_interval in (None, seconds(0.5)):
+                with self.subTest(changes=changes, min_interval=min_interval):
+                    self.follow(lambda page=page: succeed(page), min_interval)
+                    calls = self.count_calls(20)
+                    self.assertLessEqual(calls, 20 * MAX_CALLS_PER_SECOND)
+
+    def test_a_change_after_a_wait_is_followed_by_a_watch_at_once(self):
+        waiting = Deferred()
+        self.follow(lambda: waiting)
+        self.time.advance(seconds(5))
+        self.source.poll_outcome = Deferred
+        waiting.callback(RecordPage((RecordChange("a", 1),), POSITION))
+        self.assertEqual(self.source.polls, 2)
+
+    # A process that woke waited for the end of the pause to know drained domains.
+    def test_a_restart_takes_effect_during_a_pause(self):
+        self.follow(lambda: succeed(RecordPage((), POSITION)))
+        self.source.poll_outcome = Deferred
+        self.follower.restart(seconds(0))
+        self.time.advance(seconds(0))
+        self.assertEqual(self.source.lists, 2)
+
 
 if __name__ == "__main__":
     unittest.main()
