Take no part of an answer for whole that came before its request had arrived

What callers saw (another operator): a replica answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written; the part came as a complete answer. Here that was so where the replica's end of the connection came before the reset: it closes or ends, and the kernel resets what still arrives of the upload.

Cause: the end of what the server sends was taken for the clean end of the connection. Whether the request had arrived was not looked at, and the reset that follows was never seen, as the connection was closed here by then.

Why it works: where an answer ends with its connection, it ends once the kernel says that the server has acknowledged the whole request. Until then the connection stays open for the rest; a reset fails the answer. A server that half-closes and reads on to the end has given a whole answer, as before. An answer whose request had arrived before it, the usual case, ends at once. The attempt's own time limits the wait.

The real-reactor base of the tests is a module of its own now; HttpHead tells whether an answer is framed, in one place for both users.

--- a/libs/transport/src/balsamspoke_transport/connections.py
+++ b/libs/transport/src/balsamspoke_transport/connections.py
@@ -4,11 +4,14 @@
 
 import h11
 from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Protocol
+from zope.interface import implementer
 
 from .exceptions import ReplyBroken, ReplyCutOff, RequestMalformed
 from .http_requests import HttpHead
 from .keepalive import enable_keepalive
+from .request_delivery import Delivery, RequestDelivery
 
 MAX_HEAD_BYTES = 65_536
 # Events of the parser, such as heads and chunks, that one connection may bring in one
@@ -26,9 +29,13 @@
 REUSE_FRACTION = 0.8
 REUSE_FRACTION_NOT_IDEMPOTENT = 0.5
 
+# Interval of looks at a request that its server still reads.
+DELIVERY_CHECK_INTERVAL = timedelta(milliseconds=20)
+
 _TIMEOUT_FIELD = b"timeout="
 
 
+@implementer(IHalfCloseableProtocol)
 class HttpConnection(Protocol):
     """A persistent connection, which serves one HttpExchange after another.
 
@@ -59,8 +66,11 @@
         self._on_closed = on_closed
         self._exchange = None
         self._parser = None
+        self._delivery = None
         self._is_stale_response = False
         self._has_answered = False
+        # Whether the end of the connection is the end of the response.
+        self._is_unframed = False
         self._is_paused = False
         # Whether the rest of what was received is parsed in a later turn.
         self._is_deferred = False
@@ -73,6 +83,7 @@
     def connectionMade(self):
         """Set the socket options that detect a dead peer."""
         enable_keepalive(self.transport)
+        self._delivery = RequestDelivery(self.transport)
 
     def is_usable(self, is_idempotent):
         """Return whether a request may be sent now.
@@ -97,6 +108,7 @@
     def start_exchange(self, exchange):
         """Send the request of an HttpExchange."""
         self._exchange = exchange
+        self._is_unframed = False
         exchange.set_connection(self)
         try:
             encoded = self._start_parser()
@@ -104,7 +116,7 @@
             self.abort_connection()
             exchange.handle_failure(RequestMalformed(str(error)))
             return
-        self.transport.writeSequence(encoded)
+        self._delivery.write(encoded)
         self._send_monitor.add(self)
 
     def abort_connection(self):
@@ -128,19 +140,67 @@
             return
         self._parse(data)
 
+    def readConnectionLost(self):
+        """Handle that the server sends nothing more; it may read on.
+
+        A server that closes in the middle of a request resets the connection as more of
+        it arrives. What it has sent until then is a part of an answer without a length.
+        """
+        self.is_closed = True
+        if self._exchange is None:
+            self._close()
+        elif self._is_unframed:
+            self._check_delivery()
+        else:
+            self._end_cleanly()
+
+    def writeConnectionLost(self):
+        """Do nothing: the connection is never closed for writing alone."""
+
     def connectionLost(self, reason):
         """End the open exchange; a clean close may complete its response."""
         self.is_closed = True
         self._send_monitor.remove(self)
         if reason.check(ConnectionDone):
-            self._failure_type = ReplyCutOff
-            if self._exchange is not None:
-                self._parse(b"")
+            self._complete_response()
+        self._fail_lost(reason.value)
+        self._on_closed(self)
+
+    def _check_delivery(self):
+        """End the exchange, unless some of its request is still on its way."""
+        if self._exchange is None:
+            return
+        state = self._delivery.find_state()
+        if state is Delivery.OPEN:
+            self._clock.call_later(DELIVERY_CHECK_INTERVAL, self._check_delivery)
+        elif state is Delivery.DONE:
+            self._end_cleanly()
+        else:
+            self._fail("the connection was reset while the request was sent")
+
+    def _end_cleanly(self):
+        """End the exchange and the connection, which the server has closed."""
+        self._complete_response()
+        self._fail_lost(ConnectionDone())
+        self._close()
+
+    def _close(self):
+        """Close the connection, at once if the server has not got all of a request."""
+        if self._delivery.find_state() is Delivery.DONE:
+            self.transport.loseConnection()
+        else:
+            self.transport.abortConnection()
+
+    def _complete_response(self):
+        """Let the clean end of the connection be that of the response."""
+        self._failure_type = ReplyCutOff
+        if self._exchange is not None:
+            self._parse(b"")
+
+    def _fail_lost(self, reason):
         if self._exchange is not None:
             exchange, self._exchange = self._exchange, None
-            error = self._failure_type(f"connection lost: {reason.value}")
-            exchange.handle_failure(error)
-        self._on_closed(self)
+            exchange.handle_failure(self._failure_type(f"connection lost: {reason}"))
 
     def _start_parser(self):
         """Create the parser for an exchange; return the encoded request."""
@@ -224,6 +284,7 @@
         self._is_stale_response = self._is_for_earlier_request(head)
         self._has_answered = True
         if not self._is_stale_response:
+            self._is_unframed = not head.is_framed
             self._read_keep_alive_timeout(head)
             self._exchange.handle_head(head)
 
--- a/libs/transport/src/balsamspoke_transport/http_requests.py
+++ b/libs/transport/src/balsamspoke_transport/http_requests.py
@@ -67,6 +67,13 @@
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
 
+    @property
+    def is_framed(self):
+        """Whether a length or chunks tell where the body ends."""
+        encoding = self.find(b"transfer-encoding") or b""
+        has_length = self.find(b"content-length") is not None
+        return has_length or encoding.lower().endswith(b"chunked")
+
     def find_all(self, name):
         """Return the values of a header, in order; its name is in lower case."""
         return [value for found, value in self.headers if found == name]
--- a/libs/transport/tests/test_pausing_peers.py
+++ b/libs/transport/tests/test_pausing_peers.py
@@ -8,9 +8,10 @@
 from balsamspoke_transport.clock import ReactorClock
 from balsamspoke_transport.http_requests import Endpoint, HttpRequest
 from balsamspoke_transport.pool import ConnectionPool
-from balsamspoke_transport.reactor import PunctualReactor
 from twisted.internet.defer import Deferred
 
+from .real_reactor import RealReactorTests
+
 LIMITS = CallerLimits(16_384, 4_194_304, timedelta(seconds=3), timedelta(seconds=15))
 # Small windows, so that a peer that does not read blocks the writer.
 RECEIVE_BUFFER_BYTES = 2048
@@ -18,7 +19,6 @@
 LONG_BODY_BYTES = 400_000
 FIRST_READ_BYTES = 512
 PAUSE_SECONDS = 2.2
-GIVE_UP_SECONDS = 8.0
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 
 
@@ -30,27 +30,14 @@
     return handle
 
 
-class PausingPeerTests(unittest.TestCase):
+class PausingPeerTests(RealReactorTests):
     """Peers that acknowledge everything, and read on only after a pause."""
 
     def setUp(self):
-        self.loop = asyncio.new_event_loop()
-        self.addCleanup(self.loop.close)
-        self.reactor = PunctualReactor(self.loop)
-        self.reactor.addSystemEventTrigger(
-            "before", "shutdown", self.reactor.disconnectAll
-        )
-        self.loop.call_later(GIVE_UP_SECONDS, self.reactor.crash)
+        super().setUp()
         self.is_closing = False
         self.body = b""
 
-    def run_until_done(self, coroutine):
-        """Run the reactor until a coroutine ends; return its result."""
-        task = self.loop.create_task(coroutine)
-        task.add_done_callback(lambda _: self.reactor.crash())
-        self.reactor.run(installSignalHandlers=False)
-        return task.result()
-
     def answer(self, exchange):
         exchange.start(200, (), len(self.body))
         exchange.write(self.body)
