Take no head for one of an answer that is none of HTTP/1

What callers saw: with the status 000 nothing: it is no answer, as are 099, 20, 1000, 0200, +200, 2e2, 2_0 and none at all, and heads with a field whose name is none or holds a blank, a tab, NUL, another control byte, DEL, one beyond 127 or parentheses, has a blank before the colon, or stands in a trailer. Passed on were the statuses 600 and 999, and answers of HTTP/9.9, 2.0 and 0.9.

Cause: the parser looks for three digits and for the form of a version, not at their values.

Evidence: libs/transport test_odd_heads. test_a_status_that_is_none_is_no_answer failed before for 600 and 999 (4 of 32 cases), test_another_protocol_is_no_answer for three of six versions; the rest held, and stays as tests.

Why it works: statuses end at 599, and the platform speaks HTTP/1.1. Such a head fails the exchange like other bytes that are no answer: what may be repeated goes to another replica, the rest ends with 502. The heads' checks are a module of their own, with the time that connections are kept, which connections.py had grown by.

Measured: all tests of transport pass.

--- a/libs/transport/src/balsamspoke_transport/connections.py
+++ b/libs/transport/src/balsamspoke_transport/connections.py
@@ -12,6 +12,7 @@
 from .http_requests import HttpHead
 from .keepalive import enable_keepalive
 from .request_delivery import Delivery, RequestDelivery
+from .response_heads import check_head, parse_keep_alive_timeout
 
 MAX_HEAD_BYTES = 65_536
 # Events of the parser, such as heads and chunks, that one connection may bring in one
@@ -20,9 +21,6 @@
 
 # Keep-alive timeout that is assumed if the server states none.
 DEFAULT_KEEP_ALIVE_TIMEOUT = timedelta(seconds=2)
-MAX_KEEP_ALIVE_TIMEOUT = timedelta(hours=1)
-# Digits of a stated timeout; longer ones are ignored.
-_MAX_TIMEOUT_DIGITS = 9
 # Fraction of the keep-alive timeout for which an idle connection is reused; after that
 # the server may already be closing it. Lower for requests that are not idempotent: one
 # that is lost to a closing connection can't be retried.
@@ -32,8 +30,6 @@
 # Interval of looks at a request that its server still reads.
 DELIVERY_CHECK_INTERVAL = timedelta(milliseconds=20)
 
-_TIMEOUT_FIELD = b"timeout="
-
 
 @implementer(IHalfCloseableProtocol)
 class HttpConnection(Protocol):
@@ -280,12 +276,15 @@
             exchange.handle_failure(self._failure_type(f"no HTTP answer: {error}"))
 
     def _handle_head(self, event):
+        check_head(event)
         head = HttpHead(event.status_code, tuple(event.headers))
         self._is_stale_response = self._is_for_earlier_request(head)
         self._has_answered = True
         if not self._is_stale_response:
             self._is_unframed = not head.is_framed
-            self._read_keep_alive_timeout(head)
+            timeout = parse_keep_alive_timeout(head)
+            if timeout is not None:
+                self._keep_alive_timeout = timeout
             self._exchange.handle_head(head)
 
     def _is_for_earlier_request(self, head):
@@ -307,16 +306,6 @@
             raise h11.RemoteProtocolError("the answer does not tell its request")
         return True
 
-    def _read_keep_alive_timeout(self, head):
-        header = head.find(b"keep-alive") or b""
-        for field in header.split(b","):
-            value = field.strip()
-            digits = value.removeprefix(_TIMEOUT_FIELD)
-            is_number = digits.isdigit() and len(digits) <= _MAX_TIMEOUT_DIGITS
-            if value.startswith(_TIMEOUT_FIELD) and is_number:
-                timeout = timedelta(seconds=int(digits))
-                self._keep_alive_timeout = min(timeout, MAX_KEEP_ALIVE_TIMEOUT)
-
     def _handle_data(self, data):
         if self._is_stale_response or self._exchange.handle_data(data):
             return
--- a/libs/transport/tests/test_connections.py
+++ b/libs/transport/tests/test_connections.py
@@ -49,7 +49,9 @@
     return head % (request_id, len(body), extra) + body
 
 
-class ConnectionTests(unittest.TestCase):
+class ExchangeTests(unittest.TestCase):
+    """Tests of a connection whose server sends given bytes."""
+
     def setUp(self):
         self.time = VirtualTime()
         self.idle = []
@@ -91,6 +93,20 @@
         exchange.read_head().addBoth(heads.append)
         return heads[0] if heads else None
 
+    def read_status(self, exchange):
+        """Return the status of the response; None if there is none."""
+        head = self.read_head_result(exchange)
+        if isinstance(head, Failure):
+            head.trap(ReplyBroken)
+            return None
+        return None if head is None else head.status
+
+    def close_cleanly(self):
+        """Let the server close the connection in good order."""
+        self.connection.connectionLost(Failure(ConnectionDone()))
+
+
+class ConnectionTests(ExchangeTests):
     def test_sends_the_request_with_its_length(self):
         self.send_request(body=b"abc")
         sent = self.transport.value()
