Take no reply with a status that is none in the product's own door

What callers saw (another operator): an answer with the status 000 came as an answer. In the product's own door (libs/platform, not on the users' platform) that was so: a plain service's 000, 099, 20, -200, 600 or 999 reached the caller, and so did replies of HTTP/9.9 and 2.0.

Cause: Twisted's client takes any number for a status and any version, and nothing here looked at them.

Evidence: libs/standins test_odd_replies: test_a_status_that_is_none_is_no_reply and test_another_protocol_is_no_reply failed before, on the client, a plain service's calls and health check, and for versions the VM list. Names that hold a blank or a control byte were refused before, and a reply without a length is never whole there, so that a part before a reset held too: those tests stay.

Why it works: whoever opens a call (streams, calls, health checks, the object API, the VM list) gets a reply only if its head is one of HTTP/1 with a status from 200 to 599; the connection of another one is closed.

Measured: the tests of platform, standins, node, daemon and ctl pass. Left: +200 and 0200 are read as 200 by Twisted's client, and a folded line is joined, as HTTP allows; neither changes where a body ends there.

--- a/libs/platform/src/balsamspoke_platform/http.py
+++ b/libs/platform/src/balsamspoke_platform/http.py
@@ -31,6 +31,10 @@
 IDLE_CONNECTION_TIMEOUT = timedelta(seconds=20)
 MAX_IDLE_CONNECTIONS = 64
 MAX_REPLY_BYTES = 16_000_000
+# The client handles the statuses below by itself.
+MIN_STATUS = 200
+MAX_STATUS = 599
+_PROTOCOL = (b"HTTP", 1)
 
 
 def build_agent(reactor, connections=MAX_IDLE_CONNECTIONS):
@@ -146,7 +150,7 @@
             fields.addRawHeader(name, value)
         url = (self.base_url + path).encode()
         sent = self.agent.request(method.encode(), url, fields, producer)
-        return sent.addErrback(_translate_failure)
+        return sent.addCallbacks(_check_head, _translate_failure)
 
     @inlineCallbacks
     def call(self, method, path, timeout, headers=(), body=None):
@@ -188,6 +192,16 @@
         return pending.addBoth(stop_timer)
 
 
+def _check_head(response):
+    """Return an IResponse; raise ReplyLost and close its connection if it is none."""
+    protocol, major, _ = response.version
+    is_http = (protocol, major) == _PROTOCOL
+    if is_http and MIN_STATUS <= response.code <= MAX_STATUS:
+        return response
+    read_body(response).addErrback(lambda failure: failure.trap(ReplyLost)).cancel()
+    raise ReplyLost(f"no reply of HTTP/1: version {major}, status {response.code}")
+
+
 def read_body(response):
     """Read the body of an IResponse.
 
