Let no entry that can't be removed end or hold up the list of processes

What callers saw: nothing yet. A name that the store refuses in a path kept the entries of all processes behind it.

Cause: an unexpected error ended the loop for good, and a failed removal the round, always at the same entry.

Evidence: libs/gateway test_registration: test_goes_on_registering_after_an_unexpected_error and test_an_entry_that_is_not_removed_does_not_keep_the_others failed before.

Why it works: an unexpected error is reported and the next round follows, as in the other loops; an entry whose removal has failed is tried last. While the store is away, a round still ends at the first failure.

Measured: all tests of the gateway pass but for the two known reds.

--- a/libs/gateway/src/balsamspoke_gateway/store/registration.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/registration.py
@@ -5,6 +5,8 @@
 
 from balsamspoke_types.exceptions import StoreUnavailable
 from balsamspoke_types.timing import sleep
+from twisted.internet.defer import CancelledError
+from twisted.python.failure import Failure
 
 # Interval of updates of the list of entry processes and of retries of failed writes.
 REGISTRY_INTERVAL = timedelta(milliseconds=600)
@@ -37,6 +39,8 @@
         self._reachability = reachability
         self._read_list = read_list
         self._registered_at = None
+        # Addresses of expired peers whose removal has failed.
+        self._unremoved = set()
 
     async def maintain(self):
         """Keep this process in the list, and remove peers assumed to have ended."""
@@ -47,6 +51,11 @@
                 await self._remove_expired()
             except StoreUnavailable as error:
                 self._reachability.record_failure(error)
+            except CancelledError:
+                raise
+            except Exception:
+                # Without its loop the process would never be listed again.
+                self._context.report_bug(Failure())
             await self._settle()
             await sleep(self._context.clock, REGISTRY_INTERVAL)
 
@@ -70,10 +79,14 @@
         self.update_standing()
 
     async def _remove_expired(self):
+        """Remove expired peers, those last whose removal has failed before."""
         now = self._context.clock.monotonic()
-        for ip in self._context.peer_activity.list_expired(now):
+        expired = self._context.peer_activity.list_expired(now)
+        for ip in sorted(expired, key=self._unremoved.__contains__):
             if ip in self._peers:
+                self._unremoved.add(ip)
                 await self._registry.remove(self._peers.find_name(ip))
+            self._unremoved.discard(ip)
 
     async def _settle(self):
         """Read the list once more, when those that start together have registered."""
