Keep a follower going that is restarted in the pause after expired watches

A restart of the records, as after a silence of the store, in the pause between two expired watches would have ended the follower: its records were never read again.

Cause: the pause was waited for in the handler of the expired watch, where its cancellation isn't handled by the handler beside it.

Evidence: test_a_restart_takes_effect_in_the_pause_of_expired_watches failed before (no list after the restart; found on reading the diff).

Why it works: the pause is part of the next round, in which a restart is handled; a restart lists at once.

--- a/libs/gateway/src/balsamspoke_gateway/store/following.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/following.py
@@ -124,8 +124,8 @@
         self._restart_delay = None
         # Polls in a row that were answered within ``MIN_POLL_INTERVAL``.
         self._quick_polls = 0
-        # Whether a watch was answered since one has expired.
-        self._was_answered = True
+        # Watches in a row that have expired.
+        self._expirations = 0
 
     def restart(self, delay):
         """List the records again after a timedelta, instead of waiting for changes."""
@@ -138,17 +138,18 @@
         failures = 0
         while True:
             try:
+                if self._expirations > 1:
+                    await self._wait(sleep(self._clock, MAX_BACKOFF))
                 position = await self._list()
                 failures = 0
                 await self._watch(position)
             except WatchExpired:
-                if not self._was_answered:
-                    await self._wait(sleep(self._clock, MAX_BACKOFF))
-                self._was_answered = False
+                self._expirations += 1
             except CancelledError:
                 if self._restart_delay is None:
                     raise
                 delay, self._restart_delay = self._restart_delay, None
+                self._expirations = 0
                 await sleep(self._clock, delay)
             except StoreUnavailable as error:
                 self._reachability.record_failure(error)
@@ -170,7 +171,7 @@
         while True:
             asked_at = self._clock.monotonic()
             page = await self._poll(position)
-            self._was_answered = True
+            self._expirations = 0
             self._reachability.record_answer()
             if page.changes:
                 self._on_change(page)
--- a/libs/gateway/tests/test_following.py
+++ b/libs/gateway/tests/test_following.py
@@ -109,6 +109,15 @@
         self.time.advance(seconds(0))
         self.assertEqual(self.source.lists, 2)
 
+    # The records were never read again.
+    def test_a_restart_takes_effect_in_the_pause_of_expired_watches(self):
+        self.follow(lambda: fail(WatchExpired()))
+        lists = self.source.lists
+        self.source.poll_outcome = Deferred
+        self.follower.restart(seconds(0))
+        self.time.advance(seconds(0))
+        self.assertEqual((self.source.lists, self.source.polls), (lists + 1, lists + 1))
+
 
 if __name__ == "__main__":
     unittest.main()
