Drop a message that can't be sent, so that the others are

What callers saw: nothing yet. An entry of another writer with an IPv6 address, in the list of entry processes or among the replicas, kept each process's messages (usage of the teams, demands, permits) from all that stand behind it in a round, and logged a traceback each time: budgets counted processes as silent that were not. So did a message beyond 64 KB.

Cause: the socket's own errors of an address of another family and of a length aren't OSErrors.

Why it works: such a message is dropped with a log line like one that meets a full buffer; the next address gets its own.

--- a/libs/transport/src/balsamspoke_transport/datagrams.py
+++ b/libs/transport/src/balsamspoke_transport/datagrams.py
@@ -29,6 +29,7 @@
 )
 from loguru import logger
 from msgspec import DecodeError, ValidationError, msgpack
+from twisted.internet.error import InvalidAddressError, MessageLengthError
 from twisted.internet.protocol import DatagramProtocol
 
 # The first byte of a datagram is the number of its message type. A number is never
@@ -104,9 +105,9 @@
         data = bytes((_TYPE_NUMBERS[type(message)],)) + self._encoder.encode(message)
         try:
             self.transport.write(data, (ip, self._port))
-        except OSError as error:
+        except (OSError, InvalidAddressError, MessageLengthError) as error:
             # Messages are sent again soon, so one lost to a full buffer or a missing
-            # route costs little.
+            # route costs little; one that can't be sent must not keep the others.
             logger.debug("could not send a datagram to {}: {}", ip, error)
 
     def datagramReceived(self, datagram, address):
