--- a/libs/gateway/src/balsamspoke_gateway/store/following.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/following.py
@@ -15,7 +15,7 @@
 # store refuses them, and all processes share its rate limit.
 MIN_BACKOFF = timedelta(milliseconds=150)
 MAX_BACKOFF = timedelta(milliseconds=600)
-# Shortest time from the begin of a poll to that of the next one, once several polls in
+# Shortest time from the start of a poll to that of the next one, once several polls in
 # a row were answered sooner: one record that is written all the time must not cost a
 # call for each of its changes.
 MIN_POLL_INTERVAL = timedelta(milliseconds=200)
--- a/libs/standins/tests/test_odd_replies.py
+++ b/libs/standins/tests/test_odd_replies.py
@@ -1,4 +1,4 @@
-"""What is no reply, to each client of the product's own door."""
+"""What is no reply, to each of the HTTP clients of libs/platform."""
 
 import unittest
 from datetime import timedelta
