Let a restart not cut short the pause after a change

A team got 5,340 to 5,430 tokens where 5,300 are allowed in 8 s: the store was restored from an older copy a second after all processes had started.

Cause: a restart of the records had begun to end the pauses between polls of a kind, and so that of the list of processes, which had ignored it. All processes listed one another in the first 0.2 s after the restoration, before the others had registered again: the logs show lists of 2 to 6 of 16, and each took the share of several.

Why it works: that pause is as it was; a restart ends only the new ones, of kinds without one, whose drained domains a process that wakes must know at once.

--- a/libs/gateway/src/balsamspoke_gateway/store/following.py
+++ b/libs/gateway/src/balsamspoke_gateway/store/following.py
@@ -119,7 +119,7 @@
         self._min_interval = min_interval
         self._observer = observer
         self._report_bug = report_bug
-        # A poll, or the pause before the next one.
+        # A poll, or a pause that ``restart`` ends.
         self._waiting = None
         self._restart_delay = None
         # Polls in a row that were answered within ``MIN_POLL_INTERVAL``.
@@ -176,14 +176,14 @@
             if page.changes:
                 self._on_change(page)
             position = max(position, page.position)
-            pause = self._choose_pause(page, asked_at)
-            if pause > NO_DELAY:
+            if page.changes and self._min_interval:
+                # A restart doesn't end this pause: the next poll reads on anyway.
+                await sleep(self._clock, self._min_interval)
+            elif (pause := self._choose_pause(asked_at)) > NO_DELAY:
                 await self._wait(sleep(self._clock, pause))
 
-    def _choose_pause(self, page, asked_at):
-        """Return the time until the next poll, after a page that was just applied."""
-        if page.changes and self._min_interval:
-            return self._min_interval
+    def _choose_pause(self, asked_at):
+        """Return the pause after a poll that was made at a monotonic time."""
         time_left = asked_at + MIN_POLL_INTERVAL - self._clock.monotonic()
         self._quick_polls = self._quick_polls + 1 if time_left > NO_DELAY else 0
         return time_left if self._quick_polls > MAX_QUICK_POLLS else NO_DELAY
--- a/libs/gateway/tests/test_following.py
+++ b/libs/gateway/tests/test_following.py
@@ -109,6 +109,19 @@
         self.time.advance(seconds(0))
         self.assertEqual(self.source.lists, 2)
 
+    # After a restoration the processes were listed before they had registered again,
+    # and each took the limit of several for its teams.
+    def test_the_pause_after_a_change_goes_on_when_restarted(self):
+        page = RecordPage((RecordChange("a", 1),), POSITION)
+        self.follow(lambda: succeed(page), seconds(2))
+        self.source.poll_outcome = Deferred
+        self.time.advance(seconds(0.5))
+        self.follower.restart(seconds(0))
+        self.time.advance(seconds(1.4))
+        self.assertEqual((self.source.lists, self.source.polls), (1, 1))
+        self.time.advance(seconds(0.1))
+        self.assertEqual((self.source.lists, self.source.polls), (1, 2))
+
     # The records were never read again.
     def test_a_restart_takes_effect_in_the_pause_of_expired_watches(self):
         self.follow(lambda: fail(WatchExpired()))
