--- a/libs/transport/tests/test_connections.py
+++ b/libs/transport/tests/test_connections.py
@@ -103,6 +103,7 @@
 
     def close_cleanly(self):
         """Let the server close the connection in good order."""
+        self.connection.readConnectionLost()
         self.connection.connectionLost(Failure(ConnectionDone()))
 
 
