--- a/review/harness-3/deployment.py
+++ b/review/harness-3/deployment.py
@@ -433,6 +433,21 @@
             return None
         return int(message[0].split(" ")[1])
 
+    async def read_until_end(self, seconds):
+        """Return the bytes of an answer in chunks, or those until the connection ends.
+
+        An answer that isn't in chunks is read for the whole time.
+        """
+        data = b""
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(seconds):
+                while not data.endswith((b"\r\n0\r\n\r\n", b"}")):
+                    piece = await self._reader.read(65_536)
+                    if not piece:
+                        break
+                    data += piece
+        return data
+
     def close(self):
         """Close the connection."""
         if self._writer is not None:
@@ -504,13 +519,17 @@
         The replicas.
     entries : list of Entry
         The entry processes.
+    network : str
+        First three numbers of all addresses.
+    store_ip : str
+        Address of the store.
     """
 
     def __init__(self, folder, scratch, entries, replicas, run_seconds):
-        network = choose_network()
+        network = self.network = choose_network()
         self.record = Record(folder)
         self.store = Store(self.record)
-        self._store_ip = f"{network}.9"
+        self.store_ip = f"{network}.9"
         self.replicas = [
             Replica(
                 self.record,
@@ -530,14 +549,14 @@
                 f"front-{n}",
                 f"{network}.{10 + n}",
                 f"zone-{n}",
-                self._store_ip,
+                self.store_ip,
             )
             for n in range(1, entries + 1)
         ]
 
     async def start(self, configuration):
         """Start all; return when the entry processes are ready."""
-        await self.store.start(self._store_ip)
+        await self.store.start(self.store_ip)
         self.store.put("config", "main", configuration)
         for replica in self.replicas:
             await replica.start()
