Review: streams of a process that can't hear the store are not taken up

One process of three is cut off from the store, a software version is released, and the process is killed while it is still cut off. It had told no other process where its streams began, as its old copy of the register named one version. The two others know of two versions and refuse all of the streams.

--- a/review/harness-3/deployment.py
+++ b/review/harness-3/deployment.py
@@ -126,6 +126,8 @@
     ----------
     delay : float
         Seconds until an answer is sent.
+    cut_off : set of str
+        Addresses of the store at which calls stay unanswered.
     """
 
     def __init__(self, record):
@@ -135,10 +137,15 @@
         self._changed = asyncio.Event()
         self.revision = 100
         self.delay = 0.004
+        self.cut_off = set()
 
     async def start(self, ip):
-        """Listen on the store's address."""
-        await asyncio.start_server(self._serve, ip, STORE_PORT)
+        """Listen on an address of the store."""
+
+        async def serve(reader, writer):
+            await self._serve(ip, reader, writer)
+
+        await asyncio.start_server(serve, ip, STORE_PORT)
 
     def put(self, kind, name, spec):
         """Write an object; return its revision."""
@@ -162,17 +169,24 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, ip, reader, writer):
         with contextlib.suppress(*CONNECTION_ENDS):
             while True:
                 first, _, body = await read_message(reader)
+                if ip in self.cut_off:
+                    break
                 method, target, _ = first.split(" ")
                 status, content = await self._answer(method, target, body)
                 await asyncio.sleep(self.delay)
+                if ip in self.cut_off:
+                    break
                 text = json.dumps(content).encode()
                 fields = {"Content-Type": "application/json", "Store-Era": "1"}
                 writer.write(make_answer(status, fields, text))
                 await writer.drain()
+            # What is cut off hears nothing, not even the end of the connection.
+            while ip in self.cut_off:
+                await asyncio.sleep(0.1)
         writer.close()
 
     async def _answer(self, method, target, body):
@@ -286,6 +300,8 @@
 
     Attributes
     ----------
+    store_ip : str
+        Address at which it calls the store, which is its own.
     peak_megabytes : float
         Most resident memory that was seen.
     was_over_memory : bool
@@ -296,6 +312,7 @@
         self._record = record
         self.name = name
         self.ip = ip
+        self.store_ip = store_ip
         self._settings = Path(folder, f"{name}.toml")
         self._log = Path(folder, f"{name}.log")
         self._text = SETTINGS.format(
@@ -549,7 +566,7 @@
                 f"front-{n}",
                 f"{network}.{10 + n}",
                 f"zone-{n}",
-                self.store_ip,
+                f"{network}.{200 + n}",
             )
             for n in range(1, entries + 1)
         ]
@@ -557,6 +574,8 @@
     async def start(self, configuration):
         """Start all; return when the entry processes are ready."""
         await self.store.start(self.store_ip)
+        for entry in self.entries:
+            await self.store.start(entry.store_ip)
         self.store.put("config", "main", configuration)
         for replica in self.replicas:
             await replica.start()
--- a/review/harness-3/engines.py
+++ b/review/harness-3/engines.py
@@ -69,6 +69,8 @@
         Texts on orders beyond the limits.
     running : int
         Streams that it writes now.
+    software_version : str
+        Version of its software.
     comment : bytes
         Comment lines that follow each event of which the number is a multiple of
         ``comment_every``.
@@ -88,6 +90,7 @@
         self.runs = []
         self.overloads = []
         self.running = 0
+        self.software_version = "1"
         self.comment = b""
         self.comment_every = 3
         self._reset()
@@ -121,7 +124,7 @@
             "service": self._service,
             "address": f"{self.ip}:{REPLICA_PORT}",
             "zone": self._zone,
-            "version": "1",
+            "version": self.software_version,
             "slots": 64,
             "state": "ready",
             "cold_left_ms": 0,
@@ -164,7 +167,7 @@
         writer.close()
 
     async def _answer(self, writer, first, headers, body):
-        method, target, _ = first.split(" ")
+        target = first.split(" ")[1]
         if target == "/-/report":
             writer.write(self._make_json(200, self._make_report()))
         elif target == "/-/order":
