--- a/review/12/case.py
+++ b/review/12/case.py
@@ -13,7 +13,7 @@
 MAX_BODY_BYTES = 4_194_304
 FORM_TYPE = "application/x-www-form-urlencoded"
 OTHER_TYPE = "application/octet-stream"
-UPLOADS = 8
+UPLOADS = 4
 KEPT_CALLERS = 16
 RUN_SECONDS = 0.3
 CALM_SECONDS = 4.0
@@ -26,7 +26,7 @@
     pairs = []
     size = 0
     while size < MAX_BODY_BYTES - 20:
-        pair = b"seat%06d=1" % len(pairs)
+        pair = b"s%d=1" % len(pairs)
         pairs.append(pair)
         size += len(pair) + 1
     return b"&".join(pairs)
