--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""Engines that crash while their streams also hold comment lines."""
+"""A process that can't hear the store is killed while a new version is released."""
 
 import asyncio
 import sys
@@ -13,51 +13,98 @@
 LIMITS = EngineLimits(
     weights_mb=66_600, model_mb=65_100, adapter_mb=12, adapter_slots=16
 )
-ENGINES = 6
-ADAPTERS = 6
-SECONDS = 12
-REQUESTS_PER_SECOND = 60
-# Seconds after the start of traffic.
-CRASHES_AT = (5, 9)
+ENTRIES = 3
+ENGINES = 4
+ADAPTERS = 4
+SECONDS = 14
+# New streams at each process.
+STREAMS_PER_SECOND = 40
+CUT_AT = 5
+RELEASE_AT = 6
+KILL_AT = 9
+# LOST counts from this number of streams.
+MIN_RESUMED = 12
+
+
+class Streams:
+    """The streams of the callers, and how they went on."""
+
+    def __init__(self, deployment):
+        self._deployment = deployment
+        self.begun = []
+        self.resumed = []
+
+    async def call(self, number):
+        """Call for a stream; resume it at another process if it breaks off."""
+        deployment = self._deployment
+        first = number % ENTRIES
+        entry = deployment.entries[first]
+        adapter = number % ADAPTERS
+        try:
+            request, answer, is_complete = await call_stream(
+                deployment, entry, number, adapter
+            )
+        except OSError:
+            # The process was gone before the stream began.
+            return
+        ids = list_event_ids(answer)
+        if first:
+            self.begun.append(bool(ids))
+        if is_complete or not ids:
+            return
+        other = deployment.entries[1 + number // ENTRIES % (ENTRIES - 1)]
+        _, answer, _ = await call_stream(
+            deployment, other, number, adapter, (request, ids[-1])
+        )
+        self.resumed.append(list_event_ids(answer)[:1] == [ids[-1] + 1])
 
 
 async def play(folder, scratch, has_trouble):
-    """Let one engine crash after the other, and compare the events of each answer."""
-    deployment = EngineDeployment(folder, scratch, 1, ENGINES, LIMITS)
+    """Cut one process off from the store, release a version, and kill that process."""
+    deployment = EngineDeployment(folder, scratch, ENTRIES, ENGINES, LIMITS)
+    streams = Streams(deployment)
     calls = []
     try:
         await deployment.start_all()
-        for engine in deployment.engines:
-            engine.comment = b": keep-alive\n\n"
-            engine.comment_every = 2
-        for number in range(SECONDS * REQUESTS_PER_SECOND):
-            second, rest = divmod(number, REQUESTS_PER_SECOND)
-            if has_trouble and second in CRASHES_AT and not rest:
-                busiest = max(deployment.engines, key=lambda each: each.running)
-                busiest.crash(f"with {busiest.running} streams")
-            entry = deployment.entries[0]
-            stream = call_stream(deployment, entry, number, number % ADAPTERS)
-            calls.append(keep(stream))
-            await asyncio.sleep(1 / REQUESTS_PER_SECOND)
-        answers = await asyncio.gather(*calls)
+        for number in range(SECONDS * STREAMS_PER_SECOND * ENTRIES):
+            second, rest = divmod(number, STREAMS_PER_SECOND * ENTRIES)
+            if not rest:
+                await act(deployment, second, has_trouble)
+            calls.append(keep(streams.call(number)))
+            await asyncio.sleep(1 / STREAMS_PER_SECOND / ENTRIES)
+        await asyncio.gather(*calls)
     finally:
         await deployment.stop()
-    return judge(deployment, answers)
+    return judge(deployment, streams)
 
 
-def judge(deployment, answers):
-    """Return whether no event comes twice and none is missing in any answer."""
-    broken = 0
-    for request, answer, _ in answers:
-        ids = list_event_ids(answer)
-        if ids != list(range(1, len(ids) + 1)):
-            broken += 1
-            deployment.record.add(f"ORDER {request}: events {ids}")
-    whole = sum(is_complete for _, _, is_complete in answers)
+async def act(deployment, second, has_trouble):
+    """Do what is due at a second of the traffic."""
+    entry = deployment.entries[0]
+    if second == RELEASE_AT:
+        await deployment.release_engine("2")
+    if not has_trouble:
+        return
+    if second == CUT_AT:
+        deployment.record.add(f"{entry.name} is cut off from the store")
+        deployment.store.cut_off.add(entry.store_ip)
+    if second == KILL_AT:
+        deployment.record.add(f"{entry.name} is killed")
+        await entry.stop()
+
+
+def judge(deployment, streams):
+    """Return whether resumed streams go on at least half as often as new ones begin."""
+    begun = sum(streams.begun) / len(streams.begun)
+    count = len(streams.resumed)
+    going_on = sum(streams.resumed)
     deployment.record.add(
-        f"{len(answers)} streams, {whole} complete, {broken} with an event twice"
+        f"{going_on} of {count} resumed streams went on; "
+        f"{sum(streams.begun)} of {len(streams.begun)} new ones began"
     )
-    return not broken
+    if count < MIN_RESUMED:
+        return True
+    return going_on / count >= begun / 2
 
 
 if __name__ == "__main__":
