Review: case 12 keeps its callers' requests in flight

Alone on the machine the first form lost none of the kept requests in one run, though the process was killed: all had just been answered. The requests now run for 2 s at their replica.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -14,9 +14,9 @@
 FORM_TYPE = "application/x-www-form-urlencoded"
 OTHER_TYPE = "application/octet-stream"
 UPLOADS = 4
-KEPT_CALLERS = 16
-RUN_SECONDS = 0.3
-CALM_SECONDS = 4.0
+KEPT_CALLERS = 32
+RUN_SECONDS = 2.0
+CALM_SECONDS = 7.0
 # LOST allows this many.
 ALLOWED_CLOSES = 3
 
@@ -69,13 +69,15 @@
         await deployment.start(make_configuration(1, MAX_BODY_BYTES))
         watching = keep(entry.watch_memory(MEMORY_MEGABYTES))
         ends_at = time.monotonic() + CALM_SECONDS + 6.0
-        calls = []
+        kept = []
         for number in range(KEPT_CALLERS):
             caller = Caller(deployment.record, entry.ip, f"kept-{number}")
             await caller.connect()
-            calls.append(call_again_and_again(caller, deployment, closed, ends_at))
-        kept = [keep(each) for each in calls]
-        await asyncio.sleep(CALM_SECONDS)
+            call = call_again_and_again(caller, deployment, closed, ends_at)
+            kept.append(keep(call))
+            # So that some request begins and some ends at any moment.
+            await asyncio.sleep(RUN_SECONDS / KEPT_CALLERS)
+        await asyncio.sleep(CALM_SECONDS - RUN_SECONDS)
         body = make_form()
         content_type = FORM_TYPE if has_trouble else OTHER_TYPE
         uploads = [
