Review: a replica that has left comes back with a restored store

Replicas leave without a word, and their entries are removed. 2.8 s later the store is away for half a second and comes back from a copy that has the entry. Entry processes that knew the replica to be gone send to it again: the first list of the new era is held against what is known to be gone, a second one is taken as it stands, and such a second list is usual.

--- a/review/harness-3/deployment.py
+++ b/review/harness-3/deployment.py
@@ -128,6 +128,8 @@
         Seconds until an answer is sent.
     cut_off : set of str
         Addresses of the store at which calls stay unanswered.
+    is_away : bool
+        Whether connections are reset.
     """
 
     def __init__(self, record):
@@ -138,6 +140,25 @@
         self.revision = 100
         self.delay = 0.004
         self.cut_off = set()
+        self.is_away = False
+        self._era = 1
+        self._writers = set()
+
+    def copy(self):
+        """Return a copy of the objects, from which the store can be restored."""
+        objects = {kind: dict(found) for kind, found in self._objects.items()}
+        return self.revision, objects
+
+    async def be_restored(self, copy, seconds):
+        """Be away for a time, and come back from a copy."""
+        self.is_away = True
+        for writer in list(self._writers):
+            writer.transport.abort()
+        await asyncio.sleep(seconds)
+        self.revision, self._objects = copy
+        self._events = [each for each in self._events if each[0] <= self.revision]
+        self._era += 1
+        self.is_away = False
 
     async def start(self, ip):
         """Listen on an address of the store."""
@@ -170,6 +191,10 @@
         self._changed = asyncio.Event()
 
     async def _serve(self, ip, reader, writer):
+        if self.is_away:
+            writer.transport.abort()
+            return
+        self._writers.add(writer)
         with contextlib.suppress(*CONNECTION_ENDS):
             while True:
                 first, _, body = await read_message(reader)
@@ -181,12 +206,16 @@
                 if ip in self.cut_off:
                     break
                 text = json.dumps(content).encode()
-                fields = {"Content-Type": "application/json", "Store-Era": "1"}
+                fields = {
+                    "Content-Type": "application/json",
+                    "Store-Era": str(self._era),
+                }
                 writer.write(make_answer(status, fields, text))
                 await writer.drain()
             # What is cut off hears nothing, not even the end of the connection.
             while ip in self.cut_off:
                 await asyncio.sleep(0.1)
+        self._writers.discard(writer)
         writer.close()
 
     async def _answer(self, method, target, body):
@@ -220,6 +249,8 @@
             items = [objects[each] for each in sorted(objects)]
             return 200, {"items": items, "has_more": False, "at": self.revision}
         since = int(query["watch"][0])
+        if since > self.revision:
+            return 410, {}
         ends_at = time.monotonic() + int(query["wait_ms"][0]) / 1000
         while True:
             events = [
@@ -241,12 +272,15 @@
     ----------
     runs : list
         Request ids, lengths and digests of the bodies that it has run.
+    has_left : bool
+        Whether it writes its entry no longer, though it goes on serving.
     """
 
     def __init__(self, record, store, replica_id, service, ip, zone, seconds):
         self._record = record
         self._store = store
         self._seconds = seconds
+        self.has_left = False
         self.id = replica_id
         self._ip = ip
         self._entry = {
@@ -268,9 +302,10 @@
         keep(self._beat())
 
     async def _beat(self):
-        while True:
-            self._entry["seqno"] += 1
-            self._store.put("servers", self.id, dict(self._entry))
+        while not self.has_left:
+            if not self._store.is_away:
+                self._entry["seqno"] += 1
+                self._store.put("servers", self.id, dict(self._entry))
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
     async def _serve(self, reader, writer):
--- a/review/harness-3/engines.py
+++ b/review/harness-3/engines.py
@@ -71,9 +71,6 @@
         Streams that it writes now.
     software_version : str
         Version of its software.
-    comment : bytes
-        Comment lines that follow each event of which the number is a multiple of
-        ``comment_every``.
     """
 
     def __init__(self, record, store, replica_id, service, ip, zone, limits):
@@ -91,8 +88,6 @@
         self.overloads = []
         self.running = 0
         self.software_version = "1"
-        self.comment = b""
-        self.comment_every = 3
         self._reset()
 
     def _reset(self):
@@ -277,8 +272,6 @@
         for number in range(after + 1, EVENTS + 1):
             await asyncio.sleep(EVENT_SECONDS)
             event = f"id: {number}\ndata: {request} {number}\n\n".encode()
-            if number % self.comment_every == 0:
-                event += self.comment
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
