--- a/review/harness-3/deployment.py
+++ b/review/harness-3/deployment.py
@@ -24,6 +24,8 @@
 REPLICA_PORT = 8080
 HEARTBEAT_SECONDS = 1.2
 STARTUP_SECONDS = 20.0
+# Time after which a case is given up, with all that it has started.
+MAX_CASE_SECONDS = 110.0
 # How the serving of a connection ends, by either side or with the case.
 CONNECTION_ENDS = (OSError, asyncio.IncompleteReadError, asyncio.CancelledError)
 
@@ -625,6 +627,13 @@
             await entry.stop()
 
 
+async def _play_in_time(playing):
+    """Await a case; a timeout or SIGTERM cancels it, so that it ends its processes."""
+    task = asyncio.ensure_future(playing)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await asyncio.wait_for(task, MAX_CASE_SECONDS)
+
+
 def run_case(play):
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if it can't run.
 
@@ -638,8 +647,8 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     with tempfile.TemporaryDirectory() as scratch:
         try:
-            has_held = asyncio.run(play(folder, scratch, has_trouble))
-        except (CannotRun, OSError) as error:
+            has_held = asyncio.run(_play_in_time(play(folder, scratch, has_trouble)))
+        except (CannotRun, OSError, asyncio.CancelledError) as error:
             print(f"cannot run: {error!r}")
             sys.exit(2)
     print("the rule held" if has_held else "the rule was broken")
