--- a/review/14/case.py
+++ b/review/14/case.py
@@ -22,6 +22,8 @@
 CUT_AT = 5
 RELEASE_AT = 6
 KILL_AT = 9
+# The platform starts a killed process again after a short delay.
+RESTART_AT = 10
 # LOST counts from this number of streams.
 MIN_RESUMED = 12
 
@@ -91,6 +93,9 @@
     if second == KILL_AT:
         deployment.record.add(f"{entry.name} is killed")
         await entry.stop()
+        deployment.store.cut_off.discard(entry.store_ip)
+    if second == RESTART_AT:
+        await entry.start()
 
 
 def judge(deployment, streams):
